--- /dev/null
+++ b/src/bin/ledgespool-standin/app.rs
@@ -0,0 +1,91 @@
+//! The command line of the stand-ins.
+
+use std::{net, path};
+
+use bpaf::Bpaf;
+
+/// Stand-ins for what ledgespool meets in the world, and a load that drives it.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub enum StandinCommand {
+    /// The platform: objects, watches, host list
+    ///
+    /// Example: ledgespool-standin platform --listen 127.0.0.1:7100
+    #[bpaf(command)]
+    Platform {
+        /// Where it listens; port 0 takes a free one and prints it
+        #[bpaf(argument("IP:PORT"))]
+        listen: net::SocketAddr,
+    },
+    /// Backend servers
+    ///
+    /// Example: ledgespool-standin backend --listen 127.0.0.1:7201 --slots 9
+    #[bpaf(command)]
+    Backend {
+        /// Requests that each runs at once
+        #[bpaf(argument("N"), fallback(9))]
+        slots: usize,
+        /// Where it listens; may be repeated for several servers in one process
+        #[bpaf(argument("IP:PORT"), some("at least one --listen is needed"))]
+        listen: Vec<net::SocketAddr>,
+    },
+    /// A fault-injecting TCP proxy
+    ///
+    /// Example: ledgespool-standin proxy --listen 127.0.0.1:7300 --to 127.0.0.1:7100 --admin 127.0.0.1:7301
+    #[bpaf(command)]
+    Proxy {
+        /// Where it listens
+        #[bpaf(argument("IP:PORT"))]
+        listen: net::SocketAddr,
+        /// Where it passes connections to
+        #[bpaf(argument("IP:PORT"))]
+        to: net::SocketAddr,
+        /// Where it takes `PUT /` with "pass", "freeze", "cut", "`lose_answers`" or {"delay": MS}
+        #[bpaf(argument("IP:PORT"))]
+        admin: net::SocketAddr,
+    },
+    /// An open-loop load
+    ///
+    /// Example: ledgespool-standin load --entry 127.0.0.1:7001 --mix mix.json --rate 200 --requests 2000
+    #[bpaf(command)]
+    Load {
+        /// Entry hosts to ask first
+        #[bpaf(argument("IP:PORT"), some("at least one --entry is needed"))]
+        entry: Vec<net::SocketAddr>,
+        /// The mix: a JSON list of classes, see examples/mix.json
+        #[bpaf(argument("FILE"))]
+        mix: path::PathBuf,
+        /// Requests a second
+        #[bpaf(argument("N"), fallback(100.0))]
+        rate: f64,
+        /// How many requests
+        #[bpaf(argument("N"), fallback(1_000))]
+        requests: u64,
+        /// Seed of arrivals, mix and work
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Callers' addresses, as trusted forwarders name them
+        #[bpaf(argument("IP"))]
+        from: Vec<net::IpAddr>,
+        /// Print JSON
+        json: bool,
+    },
+    /// Measure look-ups: keep-alive callers on one thread ask one host for a time
+    ///
+    /// Example: ledgespool-standin lookups --entry 127.0.0.1:7001 --service desk --callers 16 --seconds 3
+    #[bpaf(command)]
+    Lookups {
+        /// The entry host
+        #[bpaf(argument("IP:PORT"))]
+        entry: net::SocketAddr,
+        /// The service asked for
+        #[bpaf(argument("NAME"))]
+        service: String,
+        /// Connections that ask one after the other
+        #[bpaf(argument("N"), fallback(16))]
+        callers: usize,
+        /// How long
+        #[bpaf(argument("N"), fallback(3))]
+        seconds: u64,
+    },
+}
--- /dev/null
+++ b/src/bin/ledgespool/main.rs
@@ -0,0 +1,47 @@
+//! `ledgespool`: the operators' command line. Thin: everything is in the library.
+
+mod app;
+mod commands;
+mod output;
+
+use std::process;
+
+use ledgespool::error::Error;
+use ledgespool::result_code::ResultCode;
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_LATE: u8 = 2;
+const EXIT_UNREACHABLE: u8 = 3;
+
+fn main() -> process::ExitCode {
+    let command = app::operator_command().run();
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(fault) => {
+            eprintln!("ledgespool: {fault}");
+            return process::ExitCode::from(EXIT_FAILED);
+        }
+    };
+    match runtime.block_on(commands::run(command)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(fault) => {
+            output::print_error(&fault);
+            process::ExitCode::from(exit_status(&fault))
+        }
+    }
+}
+
+fn exit_status(fault: &Error) -> u8 {
+    match fault.code() {
+        ResultCode::WaitExpired => EXIT_LATE,
+        ResultCode::HostUnreachable => EXIT_UNREACHABLE,
+        _ => EXIT_FAILED,
+    }
+}
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,97 @@
+//! Numbered events: what a process logs and shows in the time line.
+//!
+//! The catalogue in `docs/EVENTS.md` is held to this module by a test.
+
+use std::fmt;
+
+macro_rules! event_codes {
+    ($($name:ident = $number:literal, $level:ident, $text:literal;)+) => {
+        /// One kind of event. The first digit names the area: 1 process, 2 configuration,
+        /// 3 membership, 4 planning, 5 requests, 6 platform.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        #[repr(u16)]
+        pub enum EventCode {
+            $(#[doc = $text] $name = $number,)+
+        }
+
+        impl EventCode {
+            /// Every event, in the order of its number.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)+];
+
+            /// One sentence: what happened.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)+ }
+            }
+
+            /// How loud it is logged.
+            #[must_use]
+            pub const fn level(self) -> EventLevel {
+                match self { $(Self::$name => EventLevel::$level,)+ }
+            }
+        }
+    };
+}
+
+/// How loud an event is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EventLevel {
+    /// Ordinary work.
+    Info,
+    /// Something to look at.
+    Warn,
+    /// Something to act on.
+    Error,
+}
+
+event_codes! {
+    ProcessStarted = 1001, Info, "The process has started and listens.";
+    ProcessLeaving = 1002, Info, "The process was asked to stop and finishes what it has.";
+    ProcessStopped = 1003, Info, "The process has stopped with no request in flight.";
+    EventsDropped = 1004, Warn, "The event ring was full; events were dropped.";
+    DrainSlow = 1005, Warn, "A stop waits for requests in flight longer than the alarm time.";
+
+    ConfigInstalled = 2001, Info, "A configuration generation is installed.";
+    ConfigRejected = 2002, Error, "A configuration from the platform or a peer was refused.";
+    ChangeAccepted = 2003, Info, "An operator's change was accepted.";
+    ChangeRefused = 2004, Warn, "An operator's change was refused.";
+    TokenRefused = 2005, Warn, "A call without a valid token was refused.";
+    DrainFinished = 2006, Info, "Nothing runs any more on what is drained, as this host sees it.";
+
+    MemberJoined = 3001, Info, "A host or a new run of it was met.";
+    MemberSuspected = 3002, Warn, "A host missed heartbeats.";
+    MemberDied = 3003, Warn, "A host stayed silent and is not offered any more.";
+    MemberLeaving = 3004, Info, "A host is leaving.";
+    CutOff = 3005, Error, "This host hears no peer and no platform; it is not offered any more.";
+    Reconnected = 3006, Info, "This host hears a peer or the platform again.";
+
+    PlannerStarted = 4001, Info, "This host plans now.";
+    PlannerStopped = 4002, Info, "This host does not plan any more.";
+    GrantsInstalled = 4003, Info, "New grants are in force on this host.";
+
+    ServerLeaving = 5001, Info, "A backend server is leaving and gets no new work.";
+    ServerShedding = 5002, Warn, "A backend server shed a request unrun.";
+    AnswerDropped = 5003, Warn, "An answer that did not belong to its request was dropped.";
+
+    PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
+    PlatformFound = 6002, Info, "The platform answers again.";
+}
+
+impl EventCode {
+    /// The number.
+    ///
+    /// ```
+    /// use ledgespool::event;
+    /// assert_eq!(event::EventCode::ProcessStarted.number(), 1001);
+    /// ```
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl fmt::Display for EventCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "EV{}", self.number())
+    }
+}
--- /dev/null
+++ b/src/event_writer.rs
@@ -0,0 +1,161 @@
+//! The event thread: writes numbered events to the log and keeps the last ones for the time line.
+
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+
+use spdlog::sink::StdStreamSink;
+use tokio::sync::oneshot;
+
+use crate::event::{EventCode, EventLevel};
+use crate::ring::{self, RingReceiver, RingSender};
+use crate::timeline::{ClockStamp, EventLog, EventRecord, HybridClock};
+
+/// Events that may wait to be written; past that they are dropped and counted.
+const EVENT_RING: usize = 4_096;
+
+#[derive(Debug)]
+enum EventInput {
+    Write(EventRecord),
+    Read(ClockStamp, oneshot::Sender<Vec<EventRecord>>),
+}
+
+/// The way to the event thread, for all threads of a process.
+#[derive(Debug, Clone)]
+pub struct EventPort {
+    ring: RingSender<EventInput>,
+    host: sync::Arc<str>,
+    clock: HybridClock,
+    numbers: sync::Arc<atomic::AtomicU64>,
+    dropped: sync::Arc<atomic::AtomicU64>,
+}
+
+/// How events are logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogStyle {
+    /// One line of JSON for each event on standard error.
+    Json,
+    /// Nothing is written; the time line still has everything.
+    Silent,
+}
+
+impl EventPort {
+    /// Logs an event.
+    pub fn write(&self, code: EventCode, detail: impl Into<String>) {
+        let record = EventRecord {
+            stamp: self.clock.tick(),
+            host: self.host.to_string(),
+            number: self.numbers.fetch_add(1, atomic::Ordering::Relaxed),
+            event: code.number(),
+            detail: detail.into(),
+        };
+        if self.ring.push(EventInput::Write(record)).is_err() {
+            self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+    }
+
+    /// Events later than `after`; none when the thread is gone or busy.
+    pub async fn read(&self, after: ClockStamp) -> Vec<EventRecord> {
+        let (sender, receiver) = oneshot::channel();
+        if self.ring.push(EventInput::Read(after, sender)).is_err() {
+            return Vec::new();
+        }
+        receiver.await.unwrap_or_default()
+    }
+
+    /// The process's hybrid clock.
+    #[must_use]
+    pub const fn clock(&self) -> &HybridClock {
+        &self.clock
+    }
+}
+
+/// Starts the event thread; it ends when all ports are gone.
+///
+/// # Errors
+/// When the thread or the logger cannot be made.
+pub fn spawn(host: &str, style: LogStyle) -> std::io::Result<(EventPort, thread::JoinHandle<()>)> {
+    let (ring, receiver) = ring::with_capacity(EVENT_RING);
+    let port = EventPort {
+        ring,
+        host: sync::Arc::from(host),
+        clock: HybridClock::default(),
+        numbers: sync::Arc::new(atomic::AtomicU64::new(1)),
+        dropped: sync::Arc::new(atomic::AtomicU64::new(0)),
+    };
+    let dropped = sync::Arc::clone(&port.dropped);
+    let logger = make_logger(style)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().build()?;
+    let handle = thread::Builder::new()
+        .name("events".to_owned())
+        .spawn(move || {
+            runtime.block_on(write_events(receiver, dropped, logger));
+        })?;
+    Ok((port, handle))
+}
+
+fn make_logger(style: LogStyle) -> std::io::Result<Option<spdlog::Logger>> {
+    if style == LogStyle::Silent {
+        return Ok(None);
+    }
+    let formatter =
+        spdlog::formatter::PatternFormatter::new(spdlog::formatter::pattern!("{payload}{eol}"));
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .formatter(formatter)
+        .build();
+    let sink = sink.map_err(std::io::Error::other)?;
+    let logger = spdlog::Logger::builder().sink(sync::Arc::new(sink)).build();
+    logger.map(Some).map_err(std::io::Error::other)
+}
+
+async fn write_events(
+    receiver: RingReceiver<EventInput>,
+    dropped: sync::Arc<atomic::AtomicU64>,
+    logger: Option<spdlog::Logger>,
+) {
+    let mut log = EventLog::default();
+    while let Some(input) = receiver.pop().await {
+        match input {
+            EventInput::Write(mut record) => {
+                let lost = dropped.swap(0, atomic::Ordering::Relaxed);
+                if lost > 0 {
+                    record.detail = format!("{} ({lost} events dropped before)", record.detail);
+                }
+                if let Some(logger) = &logger {
+                    write_line(logger, &record);
+                }
+                log.push(record);
+            }
+            EventInput::Read(after, sender) => {
+                // A reader that went away needs no answer.
+                let _gone = sender.send(log.since(after));
+            }
+        }
+    }
+    if let Some(logger) = &logger {
+        logger.flush();
+    }
+}
+
+fn write_line(logger: &spdlog::Logger, record: &EventRecord) {
+    let code = EventCode::ALL
+        .iter()
+        .find(|code| code.number() == record.event);
+    let level = match code.map(|code| code.level()) {
+        Some(EventLevel::Error) => spdlog::Level::Error,
+        Some(EventLevel::Warn) => spdlog::Level::Warn,
+        _ => spdlog::Level::Info,
+    };
+    let line = serde_json::json!({
+        "stamp": record.stamp,
+        "unix_ms": record.stamp.unix_millis(),
+        "level": level.as_str(),
+        "host": record.host,
+        "number": record.number,
+        "event": format!("EV{}", record.event),
+        "text": record.text(),
+        "detail": record.detail,
+    });
+    spdlog::log!(logger: logger, level, "{}", line);
+}
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,135 @@
+//! What a worker sees of a backend server: answers, failures and load. What it sees itself
+//! outweighs what the server claims.
+
+use crate::timer;
+
+/// Weight of the newest answer in the moving averages.
+const AVERAGE_WEIGHT: f64 = 0.2;
+/// A claim of load that is older counts for nothing.
+const CLAIM_LIFE_MS: u64 = 2_000;
+/// Failure average above which a server is ejected.
+const EJECT_FAILURES: f64 = 0.5;
+/// First ejection; each further one in a row doubles it.
+const EJECT_MS: u64 = 2_000;
+const MAX_EJECT_DOUBLINGS: u32 = 4;
+/// A new server, or one back from ejection, gets its full share after this long.
+const SLOW_START_MS: u64 = 10_000;
+const SLOW_START_FLOOR: f64 = 0.1;
+/// Assumed answer time of a server that has not answered yet.
+const FIRST_ANSWER_MS: f64 = 20.0;
+
+/// The load that a server claims in its answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadClaim {
+    /// Requests that it runs.
+    pub in_use: u32,
+    /// When that was received.
+    pub at: timer::Moment,
+}
+
+/// One worker's view of one backend server.
+#[derive(Debug, Clone)]
+pub struct ServerHealth {
+    in_flight: u32,
+    answer_ms: f64,
+    failures: f64,
+    claim: Option<LoadClaim>,
+    ejected_until: Option<timer::Moment>,
+    ejections: u32,
+    warm_from: timer::Moment,
+    leaving: bool,
+}
+
+impl ServerHealth {
+    /// A server that was not used before; `cold` starts it slowly.
+    #[must_use]
+    pub const fn new(now: timer::Moment, cold: bool) -> Self {
+        let warm_from = if cold { now } else { timer::Moment(0) };
+        Self {
+            in_flight: 0,
+            answer_ms: FIRST_ANSWER_MS,
+            failures: 0.0,
+            claim: None,
+            ejected_until: None,
+            ejections: 0,
+            warm_from,
+            leaving: false,
+        }
+    }
+
+    /// Requests of this worker at the server.
+    #[must_use]
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// A request is sent to it.
+    pub const fn begin(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// A request has left it, however it ended.
+    pub const fn end(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// It answered well after `answer_ms`.
+    pub fn on_success(&mut self, answer_ms: u64) {
+        self.answer_ms += AVERAGE_WEIGHT * (answer_ms as f64 - self.answer_ms);
+        self.failures -= AVERAGE_WEIGHT * self.failures;
+        if self.failures < AVERAGE_WEIGHT {
+            self.ejections = 0;
+        }
+    }
+
+    /// It failed: an error, a broken connection or no answer in time.
+    pub fn on_failure(&mut self, now: timer::Moment) {
+        self.failures += AVERAGE_WEIGHT * (1.0 - self.failures);
+        if self.failures > EJECT_FAILURES && !self.is_ejected(now) {
+            let doublings = self.ejections.min(MAX_EJECT_DOUBLINGS);
+            let until = now.plus(EJECT_MS << doublings);
+            self.ejected_until = Some(until);
+            self.ejections += 1;
+            self.failures = EJECT_FAILURES / 2.0;
+            self.warm_from = until;
+        }
+    }
+
+    /// It claims a load.
+    pub const fn on_claim(&mut self, claim: LoadClaim) {
+        self.claim = Some(claim);
+    }
+
+    /// Whether it is known to leave, and gets no new work.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Marks it as leaving, or takes the mark back.
+    pub const fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
+    }
+
+    /// Whether it is left out for now.
+    #[must_use]
+    pub fn is_ejected(&self, now: timer::Moment) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// The expected cost of one more request; lower is better.
+    #[must_use]
+    pub fn cost(&self, slots: u32, now: timer::Moment) -> f64 {
+        let claimed = self
+            .claim
+            .filter(|claim| now.since(claim.at) <= CLAIM_LIFE_MS);
+        let others = claimed.map_or(0, |claim| claim.in_use.saturating_sub(self.in_flight));
+        let load = f64::from(self.in_flight + others + 1) / f64::from(slots.max(1));
+        load * self.answer_ms.max(1.0) / self.warmth(now) * (1.0 + 4.0 * self.failures)
+    }
+
+    fn warmth(&self, now: timer::Moment) -> f64 {
+        let age = now.since(self.warm_from).min(SLOW_START_MS) as f64 / SLOW_START_MS as f64;
+        SLOW_START_FLOOR + (1.0 - SLOW_START_FLOOR) * age
+    }
+}
--- /dev/null
+++ b/src/http_client.rs
@@ -0,0 +1,108 @@
+//! Small HTTP/1.1 exchanges with a time limit, on hyper's client connections.
+
+use std::{net, time};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+
+/// The largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
+/// The sending half of a client connection.
+pub type ClientSender = http1::SendRequest<Full<Bytes>>;
+
+/// Why an exchange failed, by what it proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeFault {
+    /// The request was never written.
+    NotSent,
+    /// The request may have been received.
+    Lost,
+}
+
+/// Opens a connection; its driver runs as a task until the connection ends.
+///
+/// # Errors
+/// `NotSent` when it cannot be opened in time.
+pub async fn connect(
+    address: net::SocketAddr,
+    limit: time::Duration,
+) -> Result<ClientSender, ExchangeFault> {
+    let opening = async {
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let builder = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .to_owned();
+        builder.handshake(TokioIo::new(stream)).await.ok()
+    };
+    let opened = tokio::time::timeout(limit, opening).await;
+    let (sender, connection) = opened.ok().flatten().ok_or(ExchangeFault::NotSent)?;
+    tokio::spawn(async move {
+        // The sender learns of a broken connection by its own request.
+        let _outcome = connection.await;
+    });
+    Ok(sender)
+}
+
+/// A whole small answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SmallAnswer {
+    /// The HTTP status.
+    pub status: http::StatusCode,
+    /// The headers.
+    pub headers: http::HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// Sends one request on a connection of its own and reads the whole answer, of at most
+/// `max_bytes`, within `limit`.
+///
+/// # Errors
+/// [`ExchangeFault`] by what it proves.
+pub async fn exchange(
+    address: net::SocketAddr,
+    request: http::Request<Full<Bytes>>,
+    limit: time::Duration,
+    max_bytes: usize,
+) -> Result<SmallAnswer, ExchangeFault> {
+    let deadline = tokio::time::Instant::now() + limit;
+    let mut sender = connect(address, limit).await?;
+    let answered =
+        tokio::time::timeout_at(deadline, read_answer(&mut sender, request, max_bytes)).await;
+    answered.unwrap_or(Err(ExchangeFault::Lost))
+}
+
+/// Sends one request on an open connection and reads the whole answer.
+///
+/// # Errors
+/// [`ExchangeFault`] by what it proves.
+pub async fn read_answer(
+    sender: &mut ClientSender,
+    request: http::Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> Result<SmallAnswer, ExchangeFault> {
+    let answer = sender
+        .try_send_request(request)
+        .await
+        .map_err(|mut fault| {
+            if fault.take_message().is_some() {
+                ExchangeFault::NotSent
+            } else {
+                ExchangeFault::Lost
+            }
+        })?;
+    let (head, body) = answer.into_parts();
+    let body = Limited::new(body, max_bytes)
+        .collect()
+        .await
+        .map_err(|_fault| ExchangeFault::Lost)?;
+    Ok(SmallAnswer {
+        status: head.status,
+        headers: head.headers,
+        body: body.to_bytes(),
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,53 @@
+//! ledgespool steers callers with long sessions to healthy backend servers.
+//!
+//! The modules follow the path of a request: a [`declaration`] says what exists.
+
+pub mod allocation;
+pub mod block_map;
+pub mod budget;
+pub mod claim;
+pub mod claim_role;
+pub mod config_object;
+pub mod config_role;
+pub mod control_message;
+mod control_shell;
+pub mod controller;
+pub mod daemon;
+pub mod declaration;
+pub mod error;
+pub mod event;
+pub mod event_writer;
+pub mod health;
+pub mod http_client;
+pub mod listener;
+pub mod lookup;
+pub mod member;
+pub mod membership;
+pub mod metrics;
+pub mod openrpc;
+pub mod peer_link;
+pub mod plan;
+pub mod planner;
+pub mod platform_call;
+pub mod platform_client;
+pub mod platform_link;
+pub mod port;
+pub mod ramp;
+pub mod report;
+pub mod result_code;
+pub mod retry;
+pub mod ring;
+pub mod roster;
+pub mod rpc;
+pub mod rpc_client;
+pub mod rpc_server;
+pub mod settings;
+pub mod slot_table;
+pub mod source;
+pub mod standin;
+pub mod steering;
+pub mod timeline;
+pub mod timer;
+pub mod token;
+pub mod topology;
+pub mod worker;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,69 @@
+//! Metrics of a worker by `cadence`, in the statsd format over UDP.
+
+use std::net;
+
+use cadence::prelude::*;
+
+use crate::result_code::ResultCode;
+use crate::settings;
+
+const PREFIX: &str = "ledgespool";
+
+/// Counters and timings of one worker.
+#[derive(Debug)]
+pub struct WorkerMetrics {
+    client: cadence::StatsdClient,
+}
+
+impl WorkerMetrics {
+    /// Sends to the address in the settings, or nowhere.
+    #[must_use]
+    pub fn from_settings(settings: &settings::HostSettings) -> Self {
+        let sink = settings.metrics_address.and_then(udp_sink);
+        let client = match sink {
+            Some(sink) => cadence::StatsdClient::builder(PREFIX, sink)
+                .with_tag("host", &settings.name)
+                .build(),
+            None => cadence::StatsdClient::from_sink(PREFIX, cadence::NopMetricSink),
+        };
+        Self { client }
+    }
+
+    /// A request ended with `code`, `millis` after it came.
+    pub fn on_request(&self, service: &str, class: &str, code: ResultCode, millis: u64) {
+        let number = code.to_string();
+        self.client
+            .count_with_tags("requests", 1)
+            .with_tag("service", service)
+            .with_tag("class", class)
+            .with_tag("code", &number)
+            .send();
+        self.client
+            .histogram_with_tags("latency_ms", millis)
+            .with_tag("service", service)
+            .with_tag("class", class)
+            .send();
+    }
+
+    /// A place's headroom in the worker's slice: units granted and not in use.
+    pub fn on_headroom(&self, place: &str, units: u64) {
+        self.client
+            .gauge_with_tags("headroom", units)
+            .with_tag("place", place)
+            .send();
+    }
+}
+
+/// A buffered sink behind a bounded queue of its own thread: the request path never waits for it.
+fn udp_sink(address: net::SocketAddr) -> Option<cadence::QueuingMetricSink> {
+    const QUEUE: usize = 4_096;
+    let local = if address.is_ipv4() {
+        "0.0.0.0:0"
+    } else {
+        "[::]:0"
+    };
+    let socket = net::UdpSocket::bind(local).ok()?;
+    socket.set_nonblocking(true).ok()?;
+    let sink = cadence::BufferedUdpMetricSink::from(address, socket).ok()?;
+    Some(cadence::QueuingMetricSink::with_capacity(sink, QUEUE))
+}
--- /dev/null
+++ b/src/ring.rs
@@ -0,0 +1,131 @@
+//! Bounded rings that join the threads: pushing never blocks, popping waits.
+
+use std::sync;
+use std::sync::atomic;
+
+use crossbeam_queue::ArrayQueue;
+use tokio::sync::Notify;
+
+/// Why a value was not taken; it is handed back.
+#[derive(Debug, PartialEq, Eq)]
+pub enum RingFault<T> {
+    /// The ring is full.
+    Full(T),
+    /// The reader is gone.
+    Closed(T),
+}
+
+#[derive(Debug)]
+struct RingState<T> {
+    queue: ArrayQueue<T>,
+    notify: Notify,
+    reader_gone: atomic::AtomicBool,
+    senders: atomic::AtomicUsize,
+}
+
+/// The writing end; may be cloned and used from any thread.
+#[derive(Debug)]
+pub struct RingSender<T> {
+    state: sync::Arc<RingState<T>>,
+}
+
+/// The reading end.
+#[derive(Debug)]
+pub struct RingReceiver<T> {
+    state: sync::Arc<RingState<T>>,
+}
+
+/// Makes a ring that holds at most `capacity` values.
+///
+/// ```
+/// use ledgespool::ring;
+/// let (sender, receiver) = ring::with_capacity(1);
+/// assert!(sender.push(7).is_ok());
+/// assert_eq!(sender.push(8), Err(ring::RingFault::Full(8)));
+/// assert_eq!(receiver.try_pop(), Some(7));
+/// ```
+#[must_use]
+pub fn with_capacity<T>(capacity: usize) -> (RingSender<T>, RingReceiver<T>) {
+    let state = sync::Arc::new(RingState {
+        queue: ArrayQueue::new(capacity.max(1)),
+        notify: Notify::new(),
+        reader_gone: atomic::AtomicBool::new(false),
+        senders: atomic::AtomicUsize::new(1),
+    });
+    (
+        RingSender {
+            state: sync::Arc::clone(&state),
+        },
+        RingReceiver { state },
+    )
+}
+
+impl<T> RingSender<T> {
+    /// Adds a value without waiting.
+    ///
+    /// # Errors
+    /// [`RingFault`] with the value when the ring is full or its reader gone.
+    pub fn push(&self, value: T) -> Result<(), RingFault<T>> {
+        if self.state.reader_gone.load(atomic::Ordering::Acquire) {
+            return Err(RingFault::Closed(value));
+        }
+        self.state.queue.push(value).map_err(RingFault::Full)?;
+        self.state.notify.notify_one();
+        Ok(())
+    }
+}
+
+impl<T> RingSender<T> {
+    /// Whether the reader is gone.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.state.reader_gone.load(atomic::Ordering::Acquire)
+    }
+}
+
+impl<T> Clone for RingSender<T> {
+    fn clone(&self) -> Self {
+        self.state.senders.fetch_add(1, atomic::Ordering::AcqRel);
+        Self {
+            state: sync::Arc::clone(&self.state),
+        }
+    }
+}
+
+impl<T> Drop for RingSender<T> {
+    fn drop(&mut self) {
+        if self.state.senders.fetch_sub(1, atomic::Ordering::AcqRel) == 1 {
+            self.state.notify.notify_one();
+        }
+    }
+}
+
+impl<T> RingReceiver<T> {
+    /// Takes the oldest value if there is one.
+    #[must_use]
+    pub fn try_pop(&self) -> Option<T> {
+        self.state.queue.pop()
+    }
+
+    /// Waits for the oldest value; `None` once all senders are gone and the ring is empty.
+    pub async fn pop(&self) -> Option<T> {
+        loop {
+            if let Some(value) = self.state.queue.pop() {
+                return Some(value);
+            }
+            if self.state.senders.load(atomic::Ordering::Acquire) == 0 {
+                return self.state.queue.pop();
+            }
+            self.state.notify.notified().await;
+        }
+    }
+}
+
+impl<T> Drop for RingReceiver<T> {
+    fn drop(&mut self) {
+        self.state
+            .reader_gone
+            .store(true, atomic::Ordering::Release);
+        while self.state.queue.pop().is_some() {}
+    }
+}
--- /dev/null
+++ b/src/worker/answer.rs
@@ -0,0 +1,221 @@
+//! Answers to callers: refusals with their codes, and streamed answers of backend servers.
+
+use std::{io, pin, task, time};
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::{Frame, Incoming, SizeHint};
+
+use super::forward::AnsweredRequest;
+use crate::result_code::{RequestOutcome, ResultCode};
+
+pub(super) const CODE_HEADER: &str = "x-ledgespool-code";
+pub(super) const OUTCOME_HEADER: &str = "x-ledgespool-outcome";
+pub(super) const REQUEST_HEADER: &str = "x-ledgespool-request-id";
+pub(super) const RETRY_HEADER: &str = "x-ledgespool-retry-after-ms";
+pub(super) const LOOKUP_HEADER: &str = "x-ledgespool-lookup";
+
+/// A server may pause this long within an answer before it counts as broken.
+const STALL_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+/// A final answer that was not made by a backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct CallerRefusal {
+    pub(super) code: ResultCode,
+    pub(super) retry_after_ms: Option<u64>,
+    /// The id of the request, once it is known.
+    pub(super) request_id: Option<String>,
+    /// The recorded status of a repeated claim.
+    pub(super) recorded_status: Option<u16>,
+}
+
+impl CallerRefusal {
+    pub(super) const fn with_code(code: ResultCode, retry_after_ms: Option<u64>) -> Self {
+        Self {
+            code,
+            retry_after_ms,
+            request_id: None,
+            recorded_status: None,
+        }
+    }
+
+    pub(super) fn for_request(mut self, id: &str) -> Self {
+        self.request_id = Some(id.to_owned());
+        self
+    }
+}
+
+/// The refusal of a worker that is not set up; it is refused before anything was sent.
+pub(super) const fn internal_refusal() -> CallerRefusal {
+    CallerRefusal::with_code(
+        ResultCode::WorkRejected,
+        Some(crate::steering::COME_BACK_LONG_MS),
+    )
+}
+
+fn put(headers: &mut http::HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = http::HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// Renders a refusal: status, headers, and a body that says the same for people.
+pub(super) fn refusal_response(refusal: &CallerRefusal) -> http::Response<Body> {
+    let outcome = refusal.code.outcome().unwrap_or(RequestOutcome::Unknown);
+    let body = serde_json::json!({
+        "code": refusal.code.to_string(),
+        "outcome": outcome.as_str(),
+        "text": refusal.code.text(),
+        "advice": refusal.code.advice(),
+        "retry_after_ms": refusal.retry_after_ms,
+        "recorded_status": refusal.recorded_status,
+    });
+    let body = Full::from(body.to_string())
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = http::Response::new(body);
+    let status = http::StatusCode::from_u16(refusal.code.http_status());
+    *response.status_mut() = status.unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    put(headers, CODE_HEADER, &refusal.code.to_string());
+    put(headers, OUTCOME_HEADER, outcome.as_str());
+    if let Some(id) = &refusal.request_id {
+        put(headers, REQUEST_HEADER, id);
+    }
+    if let Some(millis) = refusal.retry_after_ms {
+        put(headers, RETRY_HEADER, &millis.to_string());
+        put(headers, "retry-after", &millis.div_ceil(1_000).to_string());
+    }
+    if refusal.code == ResultCode::HostLeaving {
+        put(headers, LOOKUP_HEADER, "again");
+    }
+    response
+}
+
+/// An answer that gotham made itself, such as that for an unknown path, gets a code too.
+pub(super) fn with_code(response: http::Response<Body>) -> http::Response<Body> {
+    if response.headers().contains_key(CODE_HEADER) {
+        return response;
+    }
+    match response.status() {
+        http::StatusCode::NOT_FOUND => {
+            refusal_response(&CallerRefusal::with_code(ResultCode::RouteUnknown, None))
+        }
+        http::StatusCode::METHOD_NOT_ALLOWED => refusal_response(&CallerRefusal::with_code(
+            ResultCode::RequestMalformed,
+            None,
+        )),
+        _ => refusal_response(&internal_refusal()),
+    }
+}
+
+/// Marks the head of a server's answer for the caller.
+pub(super) fn mark_answered(
+    headers: &mut http::HeaderMap,
+    request_id: &str,
+    hall: &str,
+    leaving: bool,
+) {
+    put(headers, CODE_HEADER, &ResultCode::Answered.to_string());
+    put(headers, OUTCOME_HEADER, RequestOutcome::Answered.as_str());
+    put(headers, REQUEST_HEADER, request_id);
+    put(headers, "x-ledgespool-hall", hall);
+    if leaving {
+        put(headers, LOOKUP_HEADER, "again");
+        headers.insert(
+            http::header::CONNECTION,
+            http::HeaderValue::from_static("close"),
+        );
+    }
+}
+
+/// Streams a server's answer; whatever ends it, the request is finished exactly once.
+///
+/// A break turns into an error of the body, which cuts the caller's connection: the missing end is
+/// visible, and a part is never shown as the whole.
+pub(super) struct AnswerBody {
+    inner: Incoming,
+    request: Option<AnsweredRequest>,
+    stall: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+}
+
+impl AnswerBody {
+    pub(super) fn new(inner: Incoming, request: AnsweredRequest) -> Self {
+        let mut body = Self {
+            inner,
+            request: Some(request),
+            stall: None,
+        };
+        if hyper::body::Body::is_end_stream(&body.inner) {
+            body.finish(true);
+        }
+        body
+    }
+
+    fn finish(&mut self, whole: bool) {
+        if let Some(request) = self.request.take() {
+            request.finish(whole);
+        }
+    }
+
+    fn broken(&mut self, detail: &str) -> task::Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        self.finish(false);
+        task::Poll::Ready(Some(Err(io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            detail.to_owned(),
+        ))))
+    }
+}
+
+impl hyper::body::Body for AnswerBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match pin::Pin::new(&mut self.inner).poll_frame(cx) {
+            task::Poll::Ready(Some(Ok(frame))) => {
+                self.stall = None;
+                if hyper::body::Body::is_end_stream(&self.inner) {
+                    self.finish(true);
+                }
+                task::Poll::Ready(Some(Ok(frame)))
+            }
+            task::Poll::Ready(Some(Err(fault))) => self.broken(&fault.to_string()),
+            task::Poll::Ready(None) => {
+                self.finish(true);
+                task::Poll::Ready(None)
+            }
+            task::Poll::Pending => {
+                let stall = self
+                    .stall
+                    .get_or_insert_with(|| Box::pin(tokio::time::sleep(STALL_LIMIT)));
+                match stall.as_mut().poll(cx) {
+                    task::Poll::Ready(()) => self.broken("the answer stalled"),
+                    task::Poll::Pending => task::Poll::Pending,
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        hyper::body::Body::is_end_stream(&self.inner)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        hyper::body::Body::size_hint(&self.inner)
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.finish(false);
+    }
+}
--- /dev/null
+++ b/src/worker/mod.rs
@@ -0,0 +1,237 @@
+//! A worker thread: accepts callers, answers look-ups, forwards requests.
+//!
+//! Each worker owns its steering role, its backend connections and its slice of the host's
+//! grants, so the request path takes no lock. The state is the thread's own; gotham's handlers
+//! reach it by short calls that never span a wait.
+
+mod answer;
+mod forward;
+mod head;
+mod pool;
+mod route;
+
+use std::{cell, net, sync, thread, time};
+
+use gotham::handler::{Handler as _, NewHandler as _};
+use gotham::state::State;
+use tokio::sync::watch;
+
+use crate::claim::ClaimAttempt;
+use crate::control_message::{ControlInput, WorkerUsage};
+use crate::event_writer::EventPort;
+use crate::listener;
+use crate::lookup::LookupTable;
+use crate::member::HostIdentity;
+use crate::metrics::WorkerMetrics;
+use crate::plan::HostGrants;
+use crate::port::ControlPort;
+use crate::ring::{self, RingReceiver, RingSender};
+use crate::settings::HostSettings;
+use crate::steering::SteeringRole;
+use crate::timer::{Moment, MonotonicClock};
+use crate::topology::{HallId, SteeringTopology};
+
+/// Orders that may wait for a worker. When it is full, the control thread keeps the newest order
+/// of each kind and offers it again.
+const ORDER_RING: usize = 256;
+
+/// What the control thread tells a worker.
+#[derive(Debug, Clone)]
+pub enum WorkerOrder {
+    /// Report now.
+    Tick,
+    /// Put a topology in force.
+    Topology(sync::Arc<SteeringTopology>),
+    /// Put look-up answers in force.
+    Lookup(sync::Arc<LookupTable>),
+    /// Put this worker's slice of the grants in force.
+    Grants(HostGrants),
+    /// This host leaves, or stays after all.
+    Leaving(bool),
+    /// These backend servers leave.
+    LeavingServers(sync::Arc<Vec<String>>),
+}
+
+/// What a worker is made of.
+#[derive(Debug)]
+pub struct WorkerSetup {
+    /// Counts from 0.
+    pub number: usize,
+    /// The host's settings.
+    pub settings: sync::Arc<HostSettings>,
+    /// The host and the run of its process.
+    pub identity: HostIdentity,
+    /// The shared listening socket of callers.
+    pub listener: net::TcpListener,
+    /// The way to the controller.
+    pub control: ControlPort,
+    /// The way to the event thread.
+    pub events: EventPort,
+    /// The process's clock.
+    pub clock: MonotonicClock,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Turns true when the process stops.
+    pub stop: watch::Receiver<bool>,
+}
+
+pub(crate) struct WorkerState {
+    number: usize,
+    settings: sync::Arc<HostSettings>,
+    identity: HostIdentity,
+    control: ControlPort,
+    events: EventPort,
+    clock: MonotonicClock,
+    metrics: WorkerMetrics,
+    steering: SteeringRole,
+    lookup: sync::Arc<LookupTable>,
+    own_hall: HallId,
+    generation: u64,
+    leaving_since: Option<Moment>,
+    pool: pool::ConnectionPool,
+    requests: u64,
+}
+
+thread_local! {
+    static WORKER: cell::RefCell<Option<WorkerState>> = const { cell::RefCell::new(None) };
+}
+
+/// Runs `work` on this thread's state; `None` on a thread that is no worker.
+pub(crate) fn with_worker<T>(work: impl FnOnce(&mut WorkerState) -> T) -> Option<T> {
+    WORKER.with(|worker| {
+        worker
+            .try_borrow_mut()
+            .ok()
+            .and_then(|mut state| state.as_mut().map(work))
+    })
+}
+
+impl WorkerState {
+    fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    fn next_attempt(&mut self) -> ClaimAttempt {
+        self.requests += 1;
+        ClaimAttempt {
+            host: self.identity.name.clone(),
+            incarnation: self.identity.incarnation,
+            number: self.requests * 64 + self.number as u64,
+        }
+    }
+
+    fn obey(&mut self, order: WorkerOrder) {
+        let now = self.now();
+        match order {
+            WorkerOrder::Tick => {}
+            WorkerOrder::Topology(topology) => {
+                self.steering.install_topology(&topology, now);
+                self.generation = topology.generation;
+                self.own_hall = topology.hall_id(&self.settings.hall).unwrap_or(HallId(0));
+            }
+            WorkerOrder::Lookup(lookup) => self.lookup = lookup,
+            WorkerOrder::Grants(grants) => self.steering.install_grants(&grants),
+            WorkerOrder::Leaving(leaving) => {
+                self.leaving_since = leaving.then(|| self.leaving_since.unwrap_or(now));
+            }
+            WorkerOrder::LeavingServers(names) => self.steering.set_leaving_servers(&names),
+        }
+        self.report(now);
+    }
+
+    fn report(&mut self, now: Moment) {
+        let usage = WorkerUsage {
+            worker: self.number,
+            generation: self.generation,
+            sequence: self.steering.installed_sequence(),
+            usage: self.steering.take_usage(now),
+            in_flight: self.steering.in_flight(),
+            draining: self.steering.draining_in_flight(),
+        };
+        // A report that finds the ring full is left out; the next one says more.
+        let _taken = self.control.tell(ControlInput::Usage(usage));
+    }
+}
+
+/// Starts a worker thread; it ends after `stop` once its last request has ended.
+///
+/// # Errors
+/// When the thread cannot be started.
+pub fn spawn(
+    setup: WorkerSetup,
+) -> std::io::Result<(RingSender<WorkerOrder>, thread::JoinHandle<()>)> {
+    let (sender, receiver) = ring::with_capacity(ORDER_RING);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let name = format!("worker-{}", setup.number);
+    let handle = thread::Builder::new().name(name).spawn(move || {
+        runtime.block_on(run(setup, receiver));
+        runtime.shutdown_timeout(time::Duration::from_millis(100));
+    })?;
+    Ok((sender, handle))
+}
+
+async fn run(setup: WorkerSetup, orders: RingReceiver<WorkerOrder>) {
+    let WorkerSetup {
+        number,
+        settings,
+        identity,
+        listener,
+        control,
+        events,
+        clock,
+        seed,
+        stop,
+    } = setup;
+    let max_connections = settings.max_connections as usize;
+    let state = WorkerState {
+        number,
+        metrics: WorkerMetrics::from_settings(&settings),
+        steering: SteeringRole::new(&settings.hall, seed),
+        settings,
+        identity,
+        control,
+        events,
+        clock,
+        lookup: sync::Arc::default(),
+        own_hall: HallId(0),
+        generation: 0,
+        leaving_since: None,
+        pool: pool::ConnectionPool::default(),
+        requests: 0,
+    };
+    WORKER.with(|worker| *worker.borrow_mut() = Some(state));
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+        return;
+    };
+    tokio::spawn(async move {
+        while let Some(order) = orders.pop().await {
+            with_worker(|worker| worker.obey(order));
+        }
+    });
+    let router = route::build_router();
+    let handler = move |request: http::Request<hyper::body::Incoming>, peer| {
+        let router = router.clone();
+        async move { answer_with(&router, request, peer).await }
+    };
+    listener::serve(listener, max_connections, stop, handler).await;
+}
+
+/// Lets gotham route one request.
+async fn answer_with(
+    router: &gotham::router::Router,
+    request: http::Request<hyper::body::Incoming>,
+    peer: net::SocketAddr,
+) -> http::Response<gotham::helpers::http::Body> {
+    let state = State::from_request(request, peer);
+    let Ok(handler) = router.new_handler() else {
+        return answer::refusal_response(&answer::internal_refusal());
+    };
+    match handler.handle(state).await {
+        Ok((_state, response)) => answer::with_code(response),
+        Err((state, fault)) => {
+            answer::with_code(gotham::handler::IntoResponse::into_response(fault, &state))
+        }
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,545 @@
+//! Starts the real programs as separate processes on free loopback ports, and ends them.
+
+#![allow(dead_code, reason = "each test file uses its own part of the harness")]
+#![allow(missing_docs, reason = "test code")]
+
+use std::fmt::Write as _;
+use std::io::{BufRead as _, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+use std::{fs, net};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use ledgespool::control_message::HostStatus;
+use ledgespool::http_client::{self, SmallAnswer};
+use ledgespool::roster::{ListedHost, ListedState};
+use ledgespool::rpc::{NoParams, method};
+use ledgespool::rpc_client::ControlClient;
+use ledgespool::standin::backend::{BackendFaults, BackendLog};
+use ledgespool::standin::caller::{CallerRequest, CallerResult};
+use ledgespool::standin::platform::{PlatformCalls, PlatformFaults};
+use ledgespool::standin::proxy::ProxyMode;
+
+pub const TOKEN: &str = "operator-token";
+pub const PEER_TOKEN: &str = "peer-token";
+/// Generous: a busy machine changes how long a test takes, never its verdict.
+pub const PATIENCE: Duration = Duration::from_mins(1);
+pub const SERVICE: &str = "desk";
+
+/// A process that this test started; it is ended when dropped.
+pub struct Process {
+    pub child: Child,
+}
+
+impl Process {
+    pub fn spawn(program: &str, arguments: &[String]) -> Self {
+        let mut command = Command::new(program);
+        command
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped());
+        if std::env::var("SHOW_LOGS").is_err() {
+            command.stderr(Stdio::null());
+        }
+        Self {
+            child: command.spawn().expect("the program starts"),
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success(), "signal {name}");
+    }
+
+    pub fn kill(&mut self) {
+        let _gone = self.child.kill();
+        let _status = self.child.wait();
+    }
+
+    /// Waits for an end of its own; `None` when it is still running after all patience.
+    pub fn wait(&mut self) -> Option<i32> {
+        wait_for(|| self.child.try_wait().ok().flatten()).and_then(|status| status.code())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _continued = Command::new("kill")
+            .args(["-CONT", &self.child.id().to_string()])
+            .stderr(Stdio::null())
+            .status();
+        self.kill();
+    }
+}
+
+/// Polls until there is a value or patience runs out.
+pub fn wait_for<T>(mut poll: impl FnMut() -> Option<T>) -> Option<T> {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if let Some(value) = poll() {
+            return Some(value);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    None
+}
+
+/// Polls an async condition until it holds; panics with `what` when patience runs out.
+pub async fn until<F: Future<Output = bool>>(what: &str, mut poll: impl FnMut() -> F) {
+    let end = Instant::now() + PATIENCE;
+    while Instant::now() < end {
+        if poll().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    panic!("not reached: {what}");
+}
+
+/// A port that is free now, from a range below the one for outgoing connections. Each test process
+/// starts at a place of its own.
+pub fn free_port() -> u16 {
+    const FIRST: u16 = 10_000;
+    const COUNT: u16 = 20_000;
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let start = (std::process::id().wrapping_mul(97) % u32::from(COUNT)) as u16;
+        let port = FIRST + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
+        if net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
+}
+
+pub fn loopback(port: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Starts a stand-in and reads the addresses that it prints.
+pub fn standin(arguments: &[&str], addresses: usize) -> (Process, Vec<net::SocketAddr>) {
+    let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
+    let mut process = Process::spawn(env!("CARGO_BIN_EXE_ledgespool-standin"), &arguments);
+    let output = process.child.stdout.take().expect("stdout is piped");
+    let mut lines = BufReader::new(output).lines();
+    let mut read = Vec::new();
+    for _ in 0..addresses {
+        let line = lines.next().expect("a line").expect("text");
+        read.push(
+            line.trim_start_matches("listening ")
+                .parse()
+                .expect("an address"),
+        );
+    }
+    (process, read)
+}
+
+/// What a test system is made of.
+#[derive(Clone)]
+pub struct SystemPlan {
+    pub regions: Vec<(&'static str, Vec<&'static str>)>,
+    pub servers_per_hall: usize,
+    pub slots: u32,
+    /// Hall of each entry host.
+    pub hosts: Vec<&'static str>,
+    pub shift_concurrent: u32,
+    pub shift_share: f64,
+    /// Whether the hosts reach the platform through a proxy of their own each.
+    pub platform_proxies: bool,
+    pub list_hosts: bool,
+}
+
+impl Default for SystemPlan {
+    fn default() -> Self {
+        Self {
+            regions: vec![("perth", vec!["perth-1"]), ("bunbury", vec!["bunbury-1"])],
+            servers_per_hall: 1,
+            slots: 6,
+            hosts: vec!["perth-1", "perth-1", "bunbury-1"],
+            shift_concurrent: 4,
+            shift_share: 1.0,
+            platform_proxies: false,
+            list_hosts: true,
+        }
+    }
+}
+
+pub struct Host {
+    pub name: String,
+    pub hall: String,
+    pub process: Process,
+    pub callers: net::SocketAddr,
+    pub control: net::SocketAddr,
+    pub settings: PathBuf,
+    /// The admin address of its proxy to the platform.
+    pub platform_proxy: Option<net::SocketAddr>,
+}
+
+pub struct Server {
+    pub name: String,
+    pub hall: String,
+    pub process: Process,
+    pub address: net::SocketAddr,
+}
+
+/// A whole system of separate processes.
+pub struct System {
+    pub plan: SystemPlan,
+    pub dir: PathBuf,
+    pub platform: net::SocketAddr,
+    pub platform_process: Process,
+    pub proxies: Vec<Process>,
+    pub servers: Vec<Server>,
+    pub hosts: Vec<Host>,
+}
+
+impl System {
+    /// Starts everything, applies the declaration with the command line and waits for grants.
+    pub async fn start(plan: SystemPlan) -> Self {
+        let mut system = Self::start_processes(&plan);
+        system.write_declaration();
+        system.apply().await;
+        system.wait_ready().await;
+        system
+    }
+
+    pub fn start_processes(plan: &SystemPlan) -> Self {
+        static COUNT: AtomicU16 = AtomicU16::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("ledgespool-{}-{number}", std::process::id()));
+        fs::create_dir_all(dir.join("declaration")).expect("a directory");
+        let (platform_process, addresses) = standin(&["platform", "--listen", "127.0.0.1:0"], 1);
+        let mut system = Self {
+            plan: plan.clone(),
+            dir,
+            platform: addresses[0],
+            platform_process,
+            proxies: Vec::new(),
+            servers: Vec::new(),
+            hosts: Vec::new(),
+        };
+        for (_, halls) in &plan.regions {
+            for hall in halls {
+                for index in 0..plan.servers_per_hall {
+                    system.start_server(hall, index);
+                }
+            }
+        }
+        for index in 0..plan.hosts.len() {
+            system.start_host(index);
+        }
+        system
+    }
+
+    fn start_server(&mut self, hall: &str, index: usize) {
+        let slots = self.plan.slots.to_string();
+        let (process, addresses) = standin(
+            &["backend", "--slots", &slots, "--listen", "127.0.0.1:0"],
+            1,
+        );
+        let name = format!("desk-{hall}-{index}");
+        self.servers.push(Server {
+            name,
+            hall: hall.to_owned(),
+            process,
+            address: addresses[0],
+        });
+    }
+
+    fn start_host(&mut self, index: usize) {
+        let mut platform = self.platform;
+        let mut platform_proxy = None;
+        if self.plan.platform_proxies {
+            let to = self.platform.to_string();
+            let arguments = [
+                "proxy",
+                "--listen",
+                "127.0.0.1:0",
+                "--to",
+                &to,
+                "--admin",
+                "127.0.0.1:0",
+            ];
+            let (process, addresses) = standin(&arguments, 2);
+            self.proxies.push(process);
+            platform = addresses[0];
+            platform_proxy = Some(addresses[1]);
+        }
+        let name = format!("entry-{}", index + 1);
+        let hall = self.plan.hosts[index].to_owned();
+        let callers = loopback(free_port());
+        let control = loopback(free_port());
+        let peers: Vec<String> = self
+            .hosts
+            .iter()
+            .map(|host| format!("{:?}", host.control.to_string()))
+            .collect();
+        let settings = self.dir.join(format!("{name}.jsonc"));
+        let text = format!(
+            "// written by a test\n{{ \"name\": \"{name}\", \"hall\": \"{hall}\", \"caller_address\": \"{callers}\", \"control_address\": \"{control}\",\n  \"platform_address\": \"{platform}\", \"peers\": [{}], \"operator_token\": \"{TOKEN}\", \"peer_token\": \"{PEER_TOKEN}\",\n  \"trusted_forwarders\": [\"127.0.0.1\"], \"seed\": {} }}\n",
+            peers.join(", "),
+            index + 1
+        );
+        fs::write(&settings, text).expect("settings are written");
+        let process = spawn_host(&settings);
+        self.hosts.push(Host {
+            name,
+            hall,
+            process,
+            callers,
+            control,
+            settings,
+            platform_proxy,
+        });
+    }
+
+    /// Starts a host's process anew, as the platform would replace it.
+    pub fn restart_host(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        host.process.kill();
+        host.process = spawn_host(&host.settings);
+    }
+
+    pub fn declaration_text(&self) -> String {
+        let mut text = format!(
+            "{{ // the test's declaration\n\"services\": [{{ \"name\": \"{SERVICE}\", \"classes\": [\n  {{ \"name\": \"read\", \"weight\": 5, \"deadline\": \"30s\", \"repeatable\": true }},\n  {{ \"name\": \"release\", \"weight\": 20, \"deadline\": \"30s\", \"repeatable\": false }} ],\n  \"retry_budget\": 0.2, \"shift\": {{ \"concurrent\": {}, \"share_per_minute\": {} }} }}],\n",
+            self.plan.shift_concurrent, self.plan.shift_share
+        );
+        let regions: Vec<String> = self
+            .plan
+            .regions
+            .iter()
+            .map(|(name, _)| format!("{{ \"name\": \"{name}\" }}"))
+            .collect();
+        let _ = writeln!(text, "\"regions\": [{}],", regions.join(", "));
+        let capacity = self.plan.slots * u32::try_from(self.plan.servers_per_hall).expect("few");
+        let mut halls = Vec::new();
+        for (region, names) in &self.plan.regions {
+            for hall in names {
+                halls.push(format!(
+                    "{{ \"name\": \"{hall}\", \"region\": \"{region}\", \"capacity\": {capacity} }}"
+                ));
+            }
+        }
+        let _ = writeln!(text, "\"halls\": [{}],", halls.join(", "));
+        let mut links = Vec::new();
+        for (index, (from, _)) in self.plan.regions.iter().enumerate() {
+            for (to, _) in &self.plan.regions[index + 1..] {
+                links.push(format!("{{ \"from\": \"{from}\", \"to\": \"{to}\", \"latency\": \"35ms\", \"concurrent\": 100 }}"));
+            }
+        }
+        let _ = writeln!(text, "\"links\": [{}],", links.join(", "));
+        let servers: Vec<String> = self.servers.iter().map(|server| format!("  {{ \"name\": \"{}\", \"service\": \"{SERVICE}\", \"hall\": \"{}\", \"address\": \"{}\", \"slots\": {}, \"connections\": 330 }}", server.name, server.hall, server.address, self.plan.slots)).collect();
+        let _ = writeln!(text, "\"servers\": [\n{} ],", servers.join(",\n"));
+        let blocks: Vec<String> = self
+            .plan
+            .regions
+            .iter()
+            .enumerate()
+            .map(|(index, (region, _))| {
+                format!(
+                    "{{ \"prefix\": \"10.{}.0.0/16\", \"split\": 24, \"region\": \"{region}\" }}",
+                    index + 1
+                )
+            })
+            .collect();
+        let _ = writeln!(text, "\"blocks\": [{}] }}", blocks.join(", "));
+        text
+    }
+
+    pub fn write_declaration(&mut self) {
+        fs::write(
+            self.dir.join("declaration/all.jsonc"),
+            self.declaration_text(),
+        )
+        .expect("written");
+    }
+
+    pub async fn apply(&self) {
+        until("the declaration is applied", || async {
+            self.cli(&["apply", "--wait"], &["declaration"])
+                .status
+                .success()
+        })
+        .await;
+    }
+
+    /// Runs the operators' command line against the first host that still runs.
+    pub fn cli(&self, command: &[&str], rest: &[&str]) -> std::process::Output {
+        self.cli_at(self.hosts[0].control, command, rest)
+    }
+
+    pub fn cli_at(
+        &self,
+        host: net::SocketAddr,
+        command: &[&str],
+        rest: &[&str],
+    ) -> std::process::Output {
+        Command::new(env!("CARGO_BIN_EXE_ledgespool"))
+            .args(command)
+            .args(["--host", &host.to_string()])
+            .args(rest)
+            .env("LEDGESPOOL_TOKEN", TOKEN)
+            .current_dir(&self.dir)
+            .output()
+            .expect("the command line runs")
+    }
+
+    /// Waits until every host has the declaration and units of its own hall in force.
+    pub async fn wait_ready(&self) {
+        self.list_hosts(&self.hosts.iter().collect::<Vec<_>>())
+            .await;
+        until("every host has grants", || async {
+            let statuses = self.statuses().await;
+            let ready = |status: &HostStatus| {
+                status.in_force > 0 && status.places.iter().any(|place| place.grant > 0)
+            };
+            statuses.len() == self.hosts.len()
+                && statuses
+                    .iter()
+                    .all(|status| ready(status) && status.members.len() == self.hosts.len())
+        })
+        .await;
+    }
+
+    /// Tells the platform which hosts exist.
+    pub async fn list_hosts(&self, hosts: &[&Host]) {
+        if !self.plan.list_hosts {
+            return;
+        }
+        let list: Vec<ListedHost> = hosts
+            .iter()
+            .map(|host| ListedHost {
+                name: host.name.clone(),
+                control_address: host.control,
+                state: ListedState::Live,
+            })
+            .collect();
+        put(self.platform, "/admin/hosts", &list).await;
+    }
+
+    pub async fn statuses(&self) -> Vec<HostStatus> {
+        let mut statuses = Vec::new();
+        for host in &self.hosts {
+            statuses.extend(status(host.control).await);
+        }
+        statuses
+    }
+
+    pub fn entries(&self) -> Vec<net::SocketAddr> {
+        self.hosts.iter().map(|host| host.callers).collect()
+    }
+
+    pub async fn set_platform(&self, faults: PlatformFaults) {
+        put(self.platform, "/admin/faults", &faults).await;
+    }
+
+    pub async fn platform_calls(&self) -> PlatformCalls {
+        let answer = get(self.platform, "/admin/calls").await;
+        serde_json::from_slice(&answer.body).expect("counts")
+    }
+
+    pub async fn set_server(&self, index: usize, faults: BackendFaults) {
+        put(self.servers[index].address, "/admin/faults", &faults).await;
+    }
+
+    pub async fn server_log(&self, index: usize) -> BackendLog {
+        let answer = get(self.servers[index].address, "/admin/log").await;
+        serde_json::from_slice(&answer.body).expect("a log")
+    }
+
+    /// Runs of all servers, by request id.
+    pub async fn runs(&self) -> Vec<ledgespool::standin::backend::RunRecord> {
+        let mut runs = Vec::new();
+        for index in 0..self.servers.len() {
+            runs.extend(self.server_log(index).await.runs);
+        }
+        runs
+    }
+
+    pub async fn set_proxy(&self, host: usize, mode: ProxyMode) {
+        let admin = self.hosts[host]
+            .platform_proxy
+            .expect("the plan has proxies");
+        put(admin, "/", &mode).await;
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        let _removed = fs::remove_dir_all(&self.dir);
+    }
+}
+
+pub fn spawn_host(settings: &std::path::Path) -> Process {
+    let arguments = ["--settings".to_owned(), settings.display().to_string()];
+    Process::spawn(env!("CARGO_BIN_EXE_ledgespoold"), &arguments)
+}
+
+pub async fn status(control: net::SocketAddr) -> Option<HostStatus> {
+    let client = ControlClient::new(control, TOKEN, Duration::from_secs(2)).expect("a client");
+    client.call(method::STATUS, &NoParams {}).await.ok()
+}
+
+pub async fn put<T: serde::Serialize>(address: net::SocketAddr, path: &str, value: &T) {
+    let body = Bytes::from(serde_json::to_vec(value).expect("json"));
+    let request = http::Request::put(path)
+        .header("host", "admin")
+        .body(Full::new(body))
+        .expect("a request");
+    let answer = http_client::exchange(address, request, Duration::from_secs(10), 1 << 20)
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status, http::StatusCode::OK, "PUT {path}");
+}
+
+pub async fn get(address: net::SocketAddr, path: &str) -> SmallAnswer {
+    let request = http::Request::get(path)
+        .header("host", "admin")
+        .body(Full::default())
+        .expect("a request");
+    http_client::exchange(address, request, Duration::from_secs(10), 64 << 20)
+        .await
+        .expect("an answer")
+}
+
+/// A read of `bytes` bytes that a server works on for `work_ms`.
+pub fn read_request(id: &str, work_ms: u64, bytes: usize) -> CallerRequest {
+    CallerRequest {
+        service: SERVICE.to_owned(),
+        class: "read".to_owned(),
+        id: id.to_owned(),
+        deadline: Duration::from_secs(30),
+        work_ms,
+        answer_bytes: bytes,
+        claim_key: None,
+        from: None,
+        extra_query: String::new(),
+    }
+}
+
+/// A release start that may run once under its key.
+pub fn release_request(id: &str, key: &str, work_ms: u64) -> CallerRequest {
+    CallerRequest {
+        class: "release".to_owned(),
+        claim_key: Some(key.to_owned()),
+        extra_query: format!("&key={key}"),
+        ..read_request(id, work_ms, 10)
+    }
+}
+
+/// A claim key made now.
+pub fn new_key(token: &str) -> String {
+    format!("{}-{token}-key", ledgespool::timer::unix_millis())
+}
+
+pub fn assert_whole(result: &CallerResult) {
+    assert!(
+        result.whole,
+        "the own whole answer is expected, got {result:?}"
+    );
+}
