--- a/src/bin/ledgespool-standin/app.rs
+++ b/src/bin/ledgespool-standin/app.rs
@@ -70,20 +70,26 @@
         /// Print JSON
         json: bool,
     },
-    /// Measure look-ups: keep-alive callers on one thread ask one host for a time
+    /// A closed loop: callers that send the same request one after the other
     ///
-    /// Example: ledgespool-standin lookups --entry 127.0.0.1:7001 --service desk --callers 16 --seconds 3
+    /// Example: ledgespool-standin repeat --to 127.0.0.1:7001 --path '/lookup?service=desk'
     #[bpaf(command)]
-    Lookups {
-        /// The entry host
+    Repeat {
+        /// Where to
         #[bpaf(argument("IP:PORT"))]
-        entry: net::SocketAddr,
-        /// The service asked for
-        #[bpaf(argument("NAME"))]
-        service: String,
-        /// Connections that ask one after the other
+        to: net::SocketAddr,
+        /// Path and query
+        #[bpaf(argument("PATH"))]
+        path: String,
+        /// Headers, each as name=value
+        #[bpaf(argument("NAME=VALUE"))]
+        header: Vec<String>,
+        /// Connections
         #[bpaf(argument("N"), fallback(16))]
         callers: usize,
+        /// Threads that drive them
+        #[bpaf(argument("N"), fallback(1))]
+        threads: usize,
         /// How long
         #[bpaf(argument("N"), fallback(3))]
         seconds: u64,
--- a/src/bin/ledgespool-standin/main.rs
+++ b/src/bin/ledgespool-standin/main.rs
@@ -2,11 +2,11 @@
 
 mod app;
 
-use std::{net, path, process};
+use std::{path, process};
 
 use ledgespool::error::{self, Error};
 use ledgespool::result_code::ResultCode;
-use ledgespool::standin::{self, backend, load, lookups, platform, proxy};
+use ledgespool::standin::{self, backend, load, platform, proxy, repeat};
 use mimalloc::MiMalloc;
 
 #[global_allocator]
@@ -57,12 +57,30 @@
             };
             drive(&plan, json)?;
         }
-        app::StandinCommand::Lookups {
-            entry,
-            service,
+        app::StandinCommand::Repeat {
+            to,
+            path,
+            header,
             callers,
+            threads,
             seconds,
-        } => measure(entry, &service, callers, seconds)?,
+        } => {
+            let headers = header
+                .iter()
+                .filter_map(|header| header.split_once('='))
+                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect();
+            let limit = std::time::Duration::from_secs(seconds);
+            let figures = repeat::run(&repeat::RepeatPlan {
+                to,
+                path,
+                headers,
+                callers,
+                threads,
+                limit,
+            })?;
+            println!("{}", serde_json::to_string(&figures).unwrap_or_default());
+        }
     }
     Ok(())
 }
@@ -98,22 +116,3 @@
     }
     Ok(())
 }
-
-fn measure(
-    entry: net::SocketAddr,
-    service: &str,
-    callers: usize,
-    seconds: u64,
-) -> error::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let figures = runtime.block_on(lookups::run(
-        entry,
-        service,
-        callers,
-        std::time::Duration::from_secs(seconds),
-    ));
-    println!("{}", serde_json::to_string(&figures).unwrap_or_default());
-    Ok(())
-}
--- a/src/bin/ledgespool/app.rs
+++ b/src/bin/ledgespool/app.rs
@@ -157,6 +157,8 @@
     /// Example: ledgespool explain LS2005
     #[bpaf(command)]
     Explain {
+        /// Print the tables of the documentation
+        markdown: bool,
         /// Such as LS2005 or EV4001; all of them without one
         #[bpaf(positional("CODE"))]
         code: Option<String>,
--- a/src/bin/ledgespool/commands.rs
+++ b/src/bin/ledgespool/commands.rs
@@ -13,7 +13,7 @@
 use ledgespool::rpc_client::ControlClient;
 use ledgespool::standin::{caller, fleet, load};
 use ledgespool::timeline::{self, EventRecord};
-use ledgespool::{openrpc, timer};
+use ledgespool::{catalogue, openrpc, timer};
 
 use crate::app::{HostOptions, OperatorCommand};
 use crate::output::{self, HostLine};
@@ -88,7 +88,15 @@
             entry,
             service,
         } => lookup(entry, &service, from, json).await,
-        OperatorCommand::Explain { code } => explain(code.as_deref()),
+        OperatorCommand::Explain { markdown: true, .. } => {
+            print!(
+                "{}\n{}",
+                catalogue::result_code_table(),
+                catalogue::event_table()
+            );
+            Ok(())
+        }
+        OperatorCommand::Explain { code, .. } => explain(code.as_deref()),
         OperatorCommand::Schema => {
             println!("{}", openrpc::document_text());
             Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod allocation;
 pub mod block_map;
 pub mod budget;
+pub mod catalogue;
 pub mod claim;
 pub mod claim_role;
 pub mod config_object;
--- a/src/openrpc.rs
+++ b/src/openrpc.rs
@@ -1,6 +1,7 @@
 //! Prints the `OpenRPC` document of the control listener from the types of [`crate::rpc`].
 
 use schemars::JsonSchema;
+use schemars::generate::{SchemaGenerator, SchemaSettings};
 use serde_json::{Value, json};
 
 use crate::config_object::ConfigObject;
@@ -12,6 +13,9 @@
 use crate::timeline::EventRecord;
 
 const OPENRPC_VERSION: &str = "1.3.2";
+const DESCRIPTION: &str = "JSON-RPC 2.0 over HTTP POST, with a bearer token: the operators' for \
+    operators' methods, the hosts' for peers' methods. Durations are milliseconds, stamps hybrid \
+    clocks (Unix milliseconds in the upper 48 bits). Batches are refused.";
 
 /// The document as committed in `schema/openrpc.json`.
 #[must_use]
@@ -20,101 +24,120 @@
 }
 
 fn document() -> Value {
+    let mut book = SchemaBook::new();
     let methods = vec![
-        describe::<NoParams, HostStatus>(
+        book.describe::<NoParams, HostStatus>(
             method::STATUS,
             "operator",
             "The state of this entry host.",
         ),
-        describe::<NoParams, Option<ConfigObject>>(
+        book.describe::<NoParams, Option<ConfigObject>>(
             method::DECLARATION,
             "operator",
             "The configuration in force.",
         ),
-        describe::<ChangeParams, ChangeResult>(
+        book.describe::<ChangeParams, ChangeResult>(
             method::CHANGE,
             "operator",
             "Changes the configuration.",
         ),
-        describe::<TimelineParams, Vec<EventRecord>>(
+        book.describe::<TimelineParams, Vec<EventRecord>>(
             method::TIMELINE,
             "operator",
             "The events of this entry host.",
         ),
-        describe::<StampedHeartbeat, StampedHeartbeat>(
+        book.describe::<StampedHeartbeat, StampedHeartbeat>(
             method::HEARTBEAT,
             "peer",
             "A heartbeat between entry hosts.",
         ),
-        describe::<HostReport, Option<HostGrants>>(
+        book.describe::<HostReport, Option<HostGrants>>(
             method::REPORT,
             "peer",
             "A report to the planner; its answer grants.",
         ),
-        describe::<NoParams, Option<ConfigObject>>(
+        book.describe::<NoParams, Option<ConfigObject>>(
             method::FETCH,
             "peer",
             "The configuration, for another entry host.",
         ),
-        describe::<PeerClaim, ClaimDecision>(
+        book.describe::<PeerClaim, ClaimDecision>(
             method::CLAIM,
             "peer",
             "A claim for the owner of its shard.",
         ),
-        describe::<PeerSettle, bool>(method::SETTLE, "peer", "The outcome of a claimed request."),
+        book.describe::<PeerSettle, bool>(
+            method::SETTLE,
+            "peer",
+            "The outcome of a claimed request.",
+        ),
     ];
     json!({
         "openrpc": OPENRPC_VERSION,
         "info": {
             "title": "ledgespool control",
             "version": env!("CARGO_PKG_VERSION"),
-            "description": "JSON-RPC 2.0 over HTTP POST, with a bearer token: the operators' for operators' methods, the hosts' for peers' methods. Durations are milliseconds, stamps hybrid clocks (Unix milliseconds in the upper 48 bits). Batches are refused."
+            "description": DESCRIPTION,
         },
         "methods": methods,
-        "components": { "errors": errors() },
+        "components": { "schemas": book.generator.take_definitions(true), "errors": errors() },
     })
 }
 
-fn describe<P: JsonSchema, R: JsonSchema>(name: &str, role: &str, summary: &str) -> Value {
-    json!({
-        "name": name,
-        "summary": summary,
-        "x-role": role,
-        "paramStructure": "by-name",
-        "params": parameters::<P>(),
-        "result": { "name": "result", "schema": schemars::schema_for!(R) },
-    })
+/// Collects the types that methods share.
+struct SchemaBook {
+    generator: SchemaGenerator,
 }
 
-/// One parameter for each field of the parameter type, with the definitions that it uses.
-fn parameters<P: JsonSchema>() -> Vec<Value> {
-    let schema = schemars::schema_for!(P).to_value();
-    let required = schema
-        .get("required")
-        .and_then(Value::as_array)
-        .cloned()
-        .unwrap_or_default();
-    let definitions = schema.get("$defs").cloned();
-    let Some(fields) = schema.get("properties").and_then(Value::as_object) else {
-        return Vec::new();
-    };
-    let mut parameters = Vec::new();
-    for (name, field) in fields {
-        let mut field = field.clone();
-        if let (Some(definitions), Some(object)) = (&definitions, field.as_object_mut()) {
-            object.insert("$defs".to_owned(), definitions.clone());
+impl SchemaBook {
+    fn new() -> Self {
+        let mut settings = SchemaSettings::draft2020_12();
+        settings.definitions_path = "/components/schemas".into();
+        Self {
+            generator: settings.into_generator(),
         }
-        let is_required = required.iter().any(|entry| entry.as_str() == Some(name));
-        parameters.push(json!({ "name": name, "required": is_required, "schema": field }));
     }
-    parameters
+
+    fn describe<P: JsonSchema, R: JsonSchema>(
+        &mut self,
+        name: &str,
+        role: &str,
+        summary: &str,
+    ) -> Value {
+        json!({
+            "name": name,
+            "summary": summary,
+            "x-role": role,
+            "paramStructure": "by-name",
+            "params": self.parameters::<P>(),
+            "result": { "name": "result", "schema": self.generator.subschema_for::<R>() },
+        })
+    }
+
+    /// One parameter for each field of the parameter type.
+    fn parameters<P: JsonSchema>(&mut self) -> Vec<Value> {
+        let schema = P::json_schema(&mut self.generator).to_value();
+        let required = schema.get("required").and_then(Value::as_array);
+        let Some(fields) = schema.get("properties").and_then(Value::as_object) else {
+            return Vec::new();
+        };
+        let is_required = |name: &str| {
+            required.is_some_and(|list| list.iter().any(|entry| entry.as_str() == Some(name)))
+        };
+        fields
+            .iter()
+            .map(|(name, field)| {
+                json!({ "name": name, "required": is_required(name), "schema": field })
+            })
+            .collect()
+    }
 }
 
 fn errors() -> Value {
     let mut errors = serde_json::Map::new();
     for code in ResultCode::ALL
         .iter()
-        .filter(|code| code.number() >= 3_000 || code.number() < 2_000)
+        .filter(|code| !(2_000..3_000).contains(&code.number()))
     {
         errors.insert(
             code.to_string(),
--- a/src/source.rs
+++ b/src/source.rs
@@ -402,8 +402,10 @@
 
     /// A required duration such as `"250ms"`.
     pub fn duration(&mut self, name: &'static str) -> time::Duration {
+        // Only one fault for one value: the stand-in passes every range check.
+        const FAULTY: time::Duration = time::Duration::from_secs(1);
         let value = self.required(name);
-        self.as_duration(name, value).unwrap_or_default()
+        self.as_duration(name, value).unwrap_or(FAULTY)
     }
 
     /// An optional duration.
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,9 +7,9 @@
 pub mod caller;
 pub mod fleet;
 pub mod load;
-pub mod lookups;
 pub mod platform;
 pub mod proxy;
+pub mod repeat;
 
 use std::convert::Infallible;
 use std::{net, thread};
