--- a/benches/path.rs
+++ b/benches/path.rs
@@ -19,7 +19,7 @@
 const LOOKUP_CALLERS: usize = 16;
 
 /// Blocks that add up to the target's 170,000.
-const TARGET_BLOCKS: &str = "[{ \"prefix\": \"10.0.0.0/8\", \"split\": 24, \"region\": \"perth\" }, { \"prefix\": \"11.0.0.0/9\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"12.0.0.0/8\", \"split\": 24, \"region\": \"perth\" }, { \"prefix\": \"13.0.0.0/10\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"13.64.0.0/13\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"127.0.0.0/24\", \"region\": \"perth\" }]";
+const TARGET_BLOCKS: &str = "[{ \"prefix\": \"10.0.0.0/8\", \"split\": 24, \"region\": \"perth\" }, { \"prefix\": \"11.0.0.0/9\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"12.0.0.0/8\", \"split\": 24, \"region\": \"perth\" }, { \"prefix\": \"13.0.0.0/12\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"13.64.0.0/13\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"13.128.0.0/20\", \"split\": 24, \"region\": \"bunbury\" }, { \"prefix\": \"127.0.0.0/24\", \"region\": \"perth\" }]";
 
 fn main() {
     let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -34,8 +34,8 @@
     let memory = resident_bytes(system.hosts[0].process.child.id());
     println!("entry host resident memory: {:.1} MB", memory as f64 / 1e6);
     for callers in [1, 16, 256] {
-        let direct = run(server_plan(&system, callers));
-        let forwarded = run(entry_plan(&system, callers));
+        let direct = run(&server_plan(&system, callers));
+        let forwarded = run(&entry_plan(&system, callers));
         print_figures(&format!("direct, {callers} callers"), &direct, json);
         print_figures(&format!("forwarded, {callers} callers"), &forwarded, json);
         println!(
@@ -86,7 +86,7 @@
         threads: 3,
         limit: Duration::from_secs(SECONDS),
     };
-    tokio::task::spawn_blocking(move || run(plan))
+    tokio::task::spawn_blocking(move || run(&plan))
         .await
         .expect("a measurement")
 }
@@ -120,8 +120,8 @@
     }
 }
 
-fn run(plan: RepeatPlan) -> RepeatFigures {
-    repeat::run(&plan).expect("a measurement")
+fn run(plan: &RepeatPlan) -> RepeatFigures {
+    repeat::run(plan).expect("a measurement")
 }
 
 fn print_figures(name: &str, figures: &RepeatFigures, json: bool) {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,10 +9,10 @@
 
 const PREFIX: &str = "ledgespool";
 
-/// Counters and timings of one worker.
+/// Counters and timings of one worker; without an address they cost nothing.
 #[derive(Debug)]
 pub struct WorkerMetrics {
-    client: cadence::StatsdClient,
+    client: Option<cadence::StatsdClient>,
 }
 
 impl WorkerMetrics {
@@ -20,25 +20,33 @@
     #[must_use]
     pub fn from_settings(settings: &settings::HostSettings) -> Self {
         let sink = settings.metrics_address.and_then(udp_sink);
-        let client = match sink {
-            Some(sink) => cadence::StatsdClient::builder(PREFIX, sink)
+        let client = sink.map(|sink| {
+            cadence::StatsdClient::builder(PREFIX, sink)
                 .with_tag("host", &settings.name)
-                .build(),
-            None => cadence::StatsdClient::from_sink(PREFIX, cadence::NopMetricSink),
-        };
+                .build()
+        });
         Self { client }
     }
 
+    /// Whether anything is sent.
+    #[must_use]
+    pub const fn is_on(&self) -> bool {
+        self.client.is_some()
+    }
+
     /// A request ended with `code`, `millis` after it came.
     pub fn on_request(&self, service: &str, class: &str, code: ResultCode, millis: u64) {
+        let Some(client) = &self.client else {
+            return;
+        };
         let number = code.to_string();
-        self.client
+        client
             .count_with_tags("requests", 1)
             .with_tag("service", service)
             .with_tag("class", class)
             .with_tag("code", &number)
             .send();
-        self.client
+        client
             .histogram_with_tags("latency_ms", millis)
             .with_tag("service", service)
             .with_tag("class", class)
@@ -47,10 +55,12 @@
 
     /// A place's headroom in the worker's slice: units granted and not in use.
     pub fn on_headroom(&self, place: &str, units: u64) {
-        self.client
-            .gauge_with_tags("headroom", units)
-            .with_tag("place", place)
-            .send();
+        if let Some(client) = &self.client {
+            client
+                .gauge_with_tags("headroom", units)
+                .with_tag("place", place)
+                .send();
+        }
     }
 }
 
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -70,7 +70,7 @@
 pub struct BackendLog {
     /// Requests run, in the order that they began.
     pub runs: Vec<RunRecord>,
-    /// The most that ran at once.
+    /// The most that were there at once, running or waiting for a slot.
     pub peak: u32,
     /// Requests shed.
     pub shed: u32,
@@ -192,6 +192,7 @@
         let faults = self.faults();
         let present = self.present.fetch_add(1, atomic::Ordering::AcqRel) + 1;
         let _present = PresentGuard(self);
+        self.note_present(present);
         if faults.failing {
             return self.head(
                 http::StatusCode::INTERNAL_SERVER_ERROR,
@@ -243,10 +244,14 @@
         )
     }
 
+    fn note_present(&self, present: usize) {
+        let mut log = self.log();
+        log.peak = log.peak.max(u32::try_from(present).unwrap_or(u32::MAX));
+    }
+
     fn note_run(&self, id: &str, uri: &http::Uri) {
-        let running = self.running.fetch_add(1, atomic::Ordering::AcqRel) + 1;
+        self.running.fetch_add(1, atomic::Ordering::AcqRel);
         let mut log = self.log();
-        log.peak = log.peak.max(running);
         log.runs.push(RunRecord {
             request_id: id.to_owned(),
             began_unix_ms: timer::unix_millis(),
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -681,6 +681,15 @@
         draining.map(|(_, health)| health.in_flight()).sum()
     }
 
+    /// Units granted and not in use, by hall.
+    pub fn headroom(&mut self) -> impl Iterator<Item = (&PlaceKey, u32)> {
+        let halls = self
+            .units
+            .iter_mut()
+            .filter(|(key, _)| matches!(key, PlaceKey::Hall { .. }));
+        halls.map(|(key, counter)| (key, counter.grant.saturating_sub(counter.in_use)))
+    }
+
     /// Units in use now, over all places and without routes.
     #[must_use]
     pub fn in_flight(&mut self) -> u32 {
--- a/src/worker/answer.rs
+++ b/src/worker/answer.rs
@@ -121,8 +121,8 @@
     hall: &str,
     leaving: bool,
 ) {
-    put(headers, CODE_HEADER, &ResultCode::Answered.to_string());
-    put(headers, OUTCOME_HEADER, RequestOutcome::Answered.as_str());
+    headers.insert(CODE_HEADER, http::HeaderValue::from_static("LS2000"));
+    headers.insert(OUTCOME_HEADER, http::HeaderValue::from_static("answered"));
     put(headers, REQUEST_HEADER, request_id);
     put(headers, "x-ledgespool-hall", hall);
     if leaving {
--- a/src/worker/mod.rs
+++ b/src/worker/mod.rs
@@ -140,6 +140,12 @@
     }
 
     fn report(&mut self, now: Moment) {
+        if self.metrics.is_on() {
+            for (place, units) in self.steering.headroom() {
+                self.metrics
+                    .on_headroom(&place.to_string(), u64::from(units));
+            }
+        }
         let usage = WorkerUsage {
             worker: self.number,
             generation: self.generation,
@@ -221,9 +227,15 @@
 /// Lets gotham route one request.
 async fn answer_with(
     router: &gotham::router::Router,
-    request: http::Request<hyper::body::Incoming>,
+    mut request: http::Request<hyper::body::Incoming>,
     peer: net::SocketAddr,
 ) -> http::Response<gotham::helpers::http::Body> {
+    // gotham draws a random id, with a system call, for each request that names none.
+    let unused_id = http::HeaderValue::from_static("-");
+    request
+        .headers_mut()
+        .entry("x-request-id")
+        .or_insert(unused_id);
     let state = State::from_request(request, peer);
     let Ok(handler) = router.new_handler() else {
         return answer::refusal_response(&answer::internal_refusal());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -543,3 +543,141 @@
         "the own whole answer is expected, got {result:?}"
     );
 }
+
+/// A request of a [`Crowd`] and what became of it.
+#[derive(Debug, Clone)]
+pub struct Sent {
+    pub id: String,
+    pub key: Option<String>,
+    pub result: CallerResult,
+}
+
+/// Callers that send one request after the other until they are told to stop.
+pub struct Crowd {
+    stop: std::sync::Arc<std::sync::atomic::AtomicBool>,
+    tasks: Vec<tokio::task::JoinHandle<Vec<Sent>>>,
+}
+
+/// What a crowd sends.
+#[derive(Clone)]
+pub struct CrowdPlan {
+    pub name: &'static str,
+    pub callers: usize,
+    pub work_ms: u64,
+    pub bytes: usize,
+    /// Every so many requests is a claimed release; 0 for none.
+    pub release_every: u64,
+    pub from: Option<net::IpAddr>,
+    pub extra_query: &'static str,
+    pub deadline: Duration,
+}
+
+impl Default for CrowdPlan {
+    fn default() -> Self {
+        Self {
+            name: "crowd",
+            callers: 6,
+            work_ms: 10,
+            bytes: 2_000,
+            release_every: 0,
+            from: None,
+            extra_query: "",
+            deadline: Duration::from_secs(30),
+        }
+    }
+}
+
+impl Crowd {
+    pub fn start(entries: &[net::SocketAddr], plan: &CrowdPlan) -> Self {
+        let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+        let tasks = (0..plan.callers).map(|caller| {
+            tokio::spawn(send_until_stopped(
+                entries.to_vec(),
+                plan.clone(),
+                caller,
+                std::sync::Arc::clone(&stop),
+            ))
+        });
+        Self {
+            tasks: tasks.collect(),
+            stop,
+        }
+    }
+
+    pub async fn stop(self) -> Vec<Sent> {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut sent = Vec::new();
+        for task in self.tasks {
+            sent.extend(task.await.expect("a caller"));
+        }
+        sent
+    }
+}
+
+async fn send_until_stopped(
+    entries: Vec<net::SocketAddr>,
+    plan: CrowdPlan,
+    caller: usize,
+    stop: std::sync::Arc<std::sync::atomic::AtomicBool>,
+) -> Vec<Sent> {
+    let mut client = ledgespool::standin::caller::CallerClient::with_entries(entries);
+    let mut sent = Vec::new();
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let id = format!("{}-{caller}-{number}", plan.name);
+        let mut request = read_request(&id, plan.work_ms, plan.bytes);
+        if plan.release_every > 0 && number % plan.release_every == 0 {
+            request = release_request(&id, &new_key(&id), plan.work_ms);
+        }
+        request.from = plan.from;
+        request.deadline = plan.deadline;
+        request.extra_query.push_str(plan.extra_query);
+        let result = client.send(&request).await;
+        let pause = result.retry_after_ms.unwrap_or(0).min(200);
+        sent.push(Sent {
+            id,
+            key: request.claim_key.clone(),
+            result,
+        });
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+    sent
+}
+
+/// Not run means not run, answered means run and whole, and a key runs at most once.
+pub fn assert_truthful(sent: &[Sent], runs: &[ledgespool::standin::backend::RunRecord]) {
+    use ledgespool::result_code::RequestOutcome;
+    let mut by_id: std::collections::HashMap<&str, usize> = std::collections::HashMap::new();
+    let mut by_key: std::collections::HashMap<&str, usize> = std::collections::HashMap::new();
+    for run in runs {
+        *by_id.entry(&run.request_id).or_default() += 1;
+        if let Some((_, key)) = run.query.split_once("&key=") {
+            *by_key
+                .entry(key.split('&').next().unwrap_or(key))
+                .or_default() += 1;
+        }
+    }
+    for sent in sent {
+        let count = by_id.get(sent.id.as_str()).copied().unwrap_or(0);
+        match sent.result.outcome {
+            Some(RequestOutcome::NotRun) => assert_eq!(count, 0, "told not run, yet run: {sent:?}"),
+            Some(RequestOutcome::Answered) if sent.result.status == Some(200) => {
+                assert!(
+                    count >= 1 && sent.result.whole,
+                    "answered, yet not run or not whole: {sent:?}"
+                );
+            }
+            _ => {}
+        }
+    }
+    for (key, count) in by_key {
+        assert_eq!(count, 1, "key {key} ran {count} times");
+    }
+}
+
+pub fn count(sent: &[Sent], outcome: Option<ledgespool::result_code::RequestOutcome>) -> usize {
+    sent.iter()
+        .filter(|sent| sent.result.outcome == outcome)
+        .count()
+}
