Let small shift caps move work at once, and prove budgets

Cause: with a cap of 3 moved requests the ramp's first step was 0.27 units and its initial allowance rounded to none, so callers of a lost region were refused for 24 s; tests/promise_budget.rs failed with 'some work did move'. Ruled out: grants and routes, which the hosts held as the ramp allowed. Change: the initial allowance is at least one unit where a minute allows one, and ten steps add the rest of that minute's share.

--- a/src/ramp.rs
+++ b/src/ramp.rs
@@ -5,8 +5,7 @@
 
 /// Time between steps.
 pub const STEP_PERIOD_MS: u64 = 6_000;
-/// A minute sees the initial allowance and ten steps; together they stay within its share.
-const STEPS_PER_MINUTE: f64 = 60_000.0 / STEP_PERIOD_MS as f64 + 1.0;
+const STEPS_PER_MINUTE: u32 = (60_000 / STEP_PERIOD_MS) as u32;
 /// Refusals at the receiver, as a share of its requests, that count as suffering.
 const SUFFERING_SHARE: f64 = 0.01;
 /// Use of the allowance below which it needs no growth.
@@ -52,12 +51,24 @@
         }
     }
 
-    /// What a route carries before any step: one step's growth, so that a few lost callers are
-    /// served at once.
+    /// Units by which moved work may grow in a minute.
+    fn minute_units(rule: &declaration::ShiftRule) -> u32 {
+        let units = f64::from(rule.concurrent) * rule.share_per_minute;
+        (units.floor() as u32).min(rule.concurrent)
+    }
+
+    /// What a route carries before any step: at least one unit if a minute allows one, so that a
+    /// few lost callers are served at once. It counts as the first part of a minute's growth.
     #[must_use]
     pub fn initial_allowance(rule: &declaration::ShiftRule) -> u32 {
-        let step = f64::from(rule.concurrent) * rule.share_per_minute / STEPS_PER_MINUTE;
-        (step.floor() as u32).min(rule.concurrent)
+        Self::minute_units(rule).div_ceil(STEPS_PER_MINUTE + 1)
+    }
+
+    /// Thousandths of a unit that one step adds: with the initial allowance, ten steps make up
+    /// exactly what a minute allows.
+    fn step_milli(rule: &declaration::ShiftRule) -> u32 {
+        let rest = Self::minute_units(rule).saturating_sub(Self::initial_allowance(rule));
+        rest.saturating_mul(1_000) / STEPS_PER_MINUTE
     }
 
     /// Takes at most one step; returns whether the allowance changed.
@@ -77,12 +88,11 @@
     }
 
     fn take_step(&mut self, rule: &declaration::ShiftRule, evidence: &RampEvidence) {
-        let step_milli =
-            f64::from(rule.concurrent) * rule.share_per_minute * 1_000.0 / STEPS_PER_MINUTE;
+        let step_milli = Self::step_milli(rule);
         let initial = Self::initial_allowance(rule);
         if evidence.is_suffering() {
             self.carry_milli = 0;
-            let back = (step_milli / 1_000.0).ceil() as u32;
+            let back = step_milli.div_ceil(1_000);
             self.allowance = self.allowance.saturating_sub(back).max(initial);
             return;
         }
@@ -94,7 +104,7 @@
         if f64::from(evidence.demand) < PRESSED_SHARE * f64::from(self.allowance) {
             return;
         }
-        let grown_milli = self.carry_milli + step_milli.floor() as u32;
+        let grown_milli = self.carry_milli + step_milli;
         self.carry_milli = grown_milli % 1_000;
         self.allowance = (self.allowance + grown_milli / 1_000).min(rule.concurrent);
     }
--- /dev/null
+++ b/tests/promise_budget.rs
@@ -0,0 +1,236 @@
+//! No place is overrun and shifts stay under their cap, whatever happens to planner and platform.
+
+mod common;
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::{Duration, Instant};
+
+use common::{Crowd, CrowdPlan, System, SystemPlan, assert_truthful};
+use ledgespool::result_code::RequestOutcome;
+use ledgespool::standin::platform::PlatformFaults;
+
+const SLOTS: u32 = 6;
+
+fn crowd(name: &'static str, callers: usize) -> CrowdPlan {
+    CrowdPlan {
+        name,
+        callers,
+        work_ms: 20,
+        ..CrowdPlan::default()
+    }
+}
+
+/// Each hall has one server that counts who was there at once, so the hall's sum over all hosts
+/// is checked at every instant.
+async fn assert_no_hall_overrun(system: &System) {
+    for index in 0..system.servers.len() {
+        let log = system.server_log(index).await;
+        assert!(
+            log.peak <= SLOTS,
+            "hall {} carries {SLOTS}, had {}",
+            system.servers[index].hall,
+            log.peak
+        );
+        assert_eq!(log.shed, 0, "the server never had to shed");
+    }
+}
+
+fn planner_index(
+    system: &System,
+    statuses: &[ledgespool::control_message::HostStatus],
+) -> Option<usize> {
+    let planner = statuses
+        .iter()
+        .filter_map(|status| status.planner.as_ref())
+        .max_by_key(|planner| planner.incarnation)?;
+    system
+        .hosts
+        .iter()
+        .position(|host| host.name == planner.name)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn no_hall_is_overrun_while_planners_die_freeze_and_wake() {
+    let mut system = System::start(SystemPlan {
+        slots: SLOTS,
+        ..SystemPlan::default()
+    })
+    .await;
+    let crowd = Crowd::start(&system.entries(), &crowd("planner", 30));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let frozen = planner_index(&system, &system.statuses().await).expect("a planner");
+    system.hosts[frozen].process.signal("-STOP");
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    system.hosts[frozen].process.signal("-CONT");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let killed = planner_index(&system, &system.statuses().await).expect("a planner");
+    system.hosts[killed].process.kill();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    system.restart_host(killed);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    system.wait_ready().await;
+    let sent = crowd.stop().await;
+    assert!(
+        common::count(&sent, Some(RequestOutcome::Answered)) > 500,
+        "work went on"
+    );
+    assert_no_hall_overrun(&system).await;
+    assert_truthful(&sent, &system.runs().await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn no_hall_is_overrun_while_the_platform_is_down_and_slow() {
+    let system = System::start(SystemPlan {
+        slots: SLOTS,
+        ..SystemPlan::default()
+    })
+    .await;
+    let crowd = Crowd::start(&system.entries(), &crowd("outage", 30));
+    for faults in [
+        PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        },
+        PlatformFaults {
+            slow_ms: 700,
+            ..PlatformFaults::default()
+        },
+        PlatformFaults {
+            lose_write_answers: 5,
+            ..PlatformFaults::default()
+        },
+        PlatformFaults {
+            down: true,
+            hosts_lag_ms: 5_000,
+            ..PlatformFaults::default()
+        },
+    ] {
+        system.set_platform(faults).await;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        system.set_platform(PlatformFaults::default()).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let sent = crowd.stop().await;
+    assert!(
+        common::count(&sent, Some(RequestOutcome::Answered)) > 500,
+        "work went on"
+    );
+    assert_no_hall_overrun(&system).await;
+}
+
+/// Units follow demand: one busy host ends up with most of its region's units.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn units_move_to_the_host_that_needs_them() {
+    let system = System::start(SystemPlan {
+        slots: SLOTS,
+        ..SystemPlan::default()
+    })
+    .await;
+    let busy = system.hosts[0].callers;
+    let callers = ledgespool::standin::caller::CallerClient::with_entries(vec![busy]);
+    drop(callers);
+    let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let mut tasks = Vec::new();
+    for caller in 0..8 {
+        let stop = std::sync::Arc::clone(&stop);
+        tasks.push(tokio::spawn(async move {
+            let mut client = ledgespool::standin::caller::CallerClient::with_entries(vec![busy]);
+            let mut number = 0;
+            while !stop.load(std::sync::atomic::Ordering::Relaxed) {
+                number += 1;
+                let request = common::read_request(&format!("busy-{caller}-{number}"), 30, 100);
+                let result = client.send_to(busy, &request).await;
+                tokio::time::sleep(Duration::from_millis(
+                    result.retry_after_ms.unwrap_or(0).min(100),
+                ))
+                .await;
+            }
+        }));
+    }
+    common::until(
+        "the busy host holds all but its neighbour's one unit",
+        || async {
+            let status = common::status(busy_control(&system)).await;
+            status.is_some_and(|status| {
+                status
+                    .places
+                    .iter()
+                    .any(|place| place.place == "desk@perth-1" && place.grant >= SLOTS - 1)
+            })
+        },
+    )
+    .await;
+    stop.store(true, std::sync::atomic::Ordering::Relaxed);
+    for task in tasks {
+        task.await.expect("a caller");
+    }
+    assert_no_hall_overrun(&system).await;
+}
+
+fn busy_control(system: &System) -> std::net::SocketAddr {
+    system.hosts[0].control
+}
+
+/// All callers of one region move when its hosts and server are gone; the moved work in the other
+/// region never exceeds the cap, and grows no faster than declared, across a change of planners.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn failover_stays_under_the_shift_cap_across_planners() {
+    const CAP: u32 = 3;
+    let plan = SystemPlan {
+        slots: SLOTS,
+        hosts: vec!["bunbury-1", "bunbury-1", "perth-1"],
+        shift_concurrent: CAP,
+        shift_share: 1.0,
+        ..SystemPlan::default()
+    };
+    let mut system = System::start(plan).await;
+    let from = IpAddr::V4(Ipv4Addr::new(10, 1, 7, 7));
+    let entries = system.entries();
+    let plan = CrowdPlan {
+        from: Some(from),
+        extra_query: "&moved=1",
+        ..crowd("moved", 12)
+    };
+    let moved = Crowd::start(&entries, &plan);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    system.hosts[2].process.kill();
+    system.servers[0].process.kill();
+    let began = Instant::now();
+    let mut killed = false;
+    let mut peak = 0;
+    while began.elapsed() < Duration::from_secs(14) {
+        let statuses = system.statuses().await;
+        let in_use: u32 = statuses
+            .iter()
+            .flat_map(|status| &status.places)
+            .filter(|place| place.place == "desk@perth>bunbury")
+            .map(|place| place.grant)
+            .sum();
+        peak = peak.max(in_use);
+        assert!(
+            in_use <= CAP,
+            "granted {in_use} moved units, the cap is {CAP}"
+        );
+        if !killed && began.elapsed() > Duration::from_secs(7) {
+            killed = true;
+            if let Some(planner) = planner_index(&system, &statuses) {
+                system.hosts[planner].process.signal("-STOP");
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                system.hosts[planner].process.signal("-CONT");
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let sent = moved.stop().await;
+    assert!(peak > 0, "some work did move");
+    assert!(
+        common::count(&sent, Some(RequestOutcome::Answered)) > 20,
+        "callers of the lost region are served"
+    );
+    let log = system.server_log(1).await;
+    assert!(
+        log.peak <= CAP,
+        "at most {CAP} moved requests at once, had {}",
+        log.peak
+    );
+}
--- /dev/null
+++ b/tests/roles_budget.rs
@@ -0,0 +1,170 @@
+//! Budgets, ramps and the planner under arbitrary orders of events: property tests of the
+//! state machines themselves.
+
+use std::collections::HashMap;
+
+use ledgespool::allocation::{UnitClaimant, split_units};
+use ledgespool::budget::{PlaceBudget, PlaceKey};
+use ledgespool::declaration::ShiftRule;
+use ledgespool::member::HostIdentity;
+use ledgespool::ramp::{RampEvidence, RouteRamp, STEP_PERIOD_MS};
+use ledgespool::timer::Moment;
+use proptest::prelude::*;
+
+fn host(number: usize) -> HostIdentity {
+    HostIdentity {
+        name: format!("entry-{number}"),
+        incarnation: 1,
+    }
+}
+
+#[derive(Debug, Clone)]
+enum BudgetStep {
+    Lower(usize, u32),
+    Raise(usize, u32),
+    /// A host reads the newest plan, late or not at all.
+    Read(usize),
+    /// A host starts as many requests as its grant allows.
+    Start(usize, u32),
+    End(usize, u32),
+    Report(usize),
+}
+
+fn budget_step() -> impl Strategy<Value = BudgetStep> {
+    let host = 0_usize..4;
+    let units = 0_u32..12;
+    prop_oneof![
+        (host.clone(), units.clone()).prop_map(|(host, units)| BudgetStep::Lower(host, units)),
+        (host.clone(), units.clone()).prop_map(|(host, units)| BudgetStep::Raise(host, units)),
+        host.clone().prop_map(BudgetStep::Read),
+        (host.clone(), units.clone()).prop_map(|(host, units)| BudgetStep::Start(host, units)),
+        (host.clone(), units).prop_map(|(host, units)| BudgetStep::End(host, units)),
+        host.prop_map(BudgetStep::Report),
+    ]
+}
+
+/// A host as the budget can't see it: what it read, and what it runs.
+#[derive(Debug, Default, Clone, Copy)]
+struct HostModel {
+    installed: u64,
+    grant: u32,
+    in_use: u32,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever is read late, reported late or never: what hosts may start, and what they run,
+    /// never adds up to more than the place carries.
+    #[test]
+    fn the_sum_in_use_never_exceeds_the_limit(steps in proptest::collection::vec(budget_step(), 1..120)) {
+        const LIMIT: u32 = 9;
+        let mut budget = PlaceBudget::with_limit(PlaceKey::with_hall("desk", "hall"), LIMIT);
+        let mut hosts: HashMap<usize, HostModel> = HashMap::new();
+        let mut sequence = 1;
+        for step in steps {
+            match step {
+                BudgetStep::Lower(index, units) => {
+                    sequence += 1;
+                    budget.lower(&host(index), units, sequence);
+                }
+                BudgetStep::Raise(index, units) => {
+                    sequence += 1;
+                    budget.raise(&host(index), units);
+                }
+                BudgetStep::Read(index) => {
+                    let model = hosts.entry(index).or_default();
+                    model.installed = sequence;
+                    model.grant = budget.grant_of(&host(index));
+                }
+                BudgetStep::Start(index, units) => {
+                    let model = hosts.entry(index).or_default();
+                    model.in_use = model.in_use.max(model.grant.min(model.in_use + units));
+                }
+                BudgetStep::End(index, units) => {
+                    let model = hosts.entry(index).or_default();
+                    model.in_use = model.in_use.saturating_sub(units);
+                }
+                BudgetStep::Report(index) => {
+                    let model = hosts.entry(index).or_default();
+                    budget.acknowledge(&host(index), model.installed, model.in_use);
+                }
+            }
+            let possible: u32 = hosts.values().map(|model| model.in_use.max(model.grant)).sum();
+            prop_assert!(possible <= LIMIT, "hosts may use {possible} of {LIMIT}");
+            prop_assert!(budget.held_units() <= LIMIT);
+        }
+    }
+
+    #[test]
+    fn units_are_split_fairly(limit in 0_u32..400, demands in proptest::collection::vec((0_u32..60, any::<bool>()), 0..40)) {
+        let claimants: Vec<UnitClaimant> = demands.iter().map(|&(demand, is_near)| UnitClaimant { demand, is_near }).collect();
+        let targets = split_units(limit, &claimants);
+        prop_assert!(targets.iter().sum::<u32>() <= limit);
+        for (left, left_target) in claimants.iter().zip(&targets) {
+            for (right, right_target) in claimants.iter().zip(&targets) {
+                let unmet = *left_target < left.demand;
+                prop_assert!(!unmet || *right_target <= left_target + 1 || *right_target <= right.demand.max(1),
+                    "nobody holds spare units while another lacks some");
+            }
+        }
+    }
+
+    /// In any minute, across planners that come and go, moved work grows by no more than the rule
+    /// allows, and never past its cap.
+    #[test]
+    fn ramps_stay_under_the_share_per_minute(
+        concurrent in 0_u32..200,
+        percent in 0_u32..=100,
+        steps in proptest::collection::vec((1_u64..9_000, 0_u32..300, 0_u64..40, 0_u64..3, 0_u8..8), 1..80),
+    ) {
+        let rule = ShiftRule { concurrent, share_per_minute: f64::from(percent) / 100.0 };
+        let minute = f64::from(concurrent) * rule.share_per_minute;
+        let mut now = Moment(0);
+        let mut ramp = RouteRamp::with_allowance(RouteRamp::initial_allowance(&rule), now);
+        let mut history = vec![(now, 0), (now, ramp.allowance)];
+        for (elapsed, demand, completed, refused, change) in steps {
+            now = now.plus(elapsed);
+            if change == 0 {
+                ramp = RouteRamp::with_allowance(ramp.allowance, now);
+            }
+            ramp.step(&rule, &RampEvidence { demand, completed, refused }, now);
+            history.push((now, ramp.allowance));
+            prop_assert!(ramp.allowance <= concurrent);
+        }
+        for (index, &(from, low)) in history.iter().enumerate() {
+            for &(to, high) in &history[index..] {
+                if to.since(from) < 60_000 {
+                    prop_assert!(f64::from(high.saturating_sub(low)) <= minute + 1e-9, "grew from {low} to {high} within a minute, {minute} allowed");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_suffering_receiver_makes_the_ramp_step_back() {
+    let rule = ShiftRule {
+        concurrent: 110,
+        share_per_minute: 1.0,
+    };
+    let mut ramp = RouteRamp::with_allowance(50, Moment(0));
+    let evidence = RampEvidence {
+        demand: 50,
+        completed: 90,
+        refused: 10,
+    };
+    assert!(ramp.step(&rule, &evidence, Moment(STEP_PERIOD_MS)));
+    assert_eq!(ramp.allowance, 40);
+    let evidence = RampEvidence {
+        demand: 40,
+        completed: 100,
+        refused: 0,
+    };
+    assert!(
+        !ramp.step(&rule, &evidence, Moment(STEP_PERIOD_MS + 1)),
+        "a step needs its whole period"
+    );
+    assert!(ramp.step(&rule, &evidence, Moment(2 * STEP_PERIOD_MS)));
+    assert_eq!(ramp.allowance, 50);
+}
