Send no peer messages to backend servers of the platform's list

Cause: tests/promise_drain.rs found new work at a server 12 s after the platform listed it as leaving. Ruled out: the mark on the server (set within 2 s on all hosts) and the choice (never chosen after it). The work was our own: every listed address became a seed of the membership, so heartbeats with the peer token went to backend servers. Change: a listed host has a role, and only entry hosts are seeds.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -17,13 +17,25 @@
     Leaving,
 }
 
+/// What a listed host runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedRole {
+    /// An entry host of this system.
+    Entry,
+    /// A backend server.
+    Server,
+}
+
 /// One host of the list.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ListedHost {
     /// Its name.
     pub name: String,
-    /// Its control address.
+    /// What it runs.
+    pub role: ListedRole,
+    /// The control address of an entry host, the address of a backend server.
     pub control_address: net::SocketAddr,
     /// Its state.
     pub state: ListedState,
@@ -80,9 +92,13 @@
             .is_some_and(|host| host.state == ListedState::Leaving)
     }
 
-    /// Control addresses of all listed hosts.
+    /// Control addresses of all listed entry hosts; backend servers get no messages of peers.
     pub fn addresses(&self) -> impl Iterator<Item = net::SocketAddr> + '_ {
-        self.hosts.values().map(|host| host.control_address)
+        let entries = self
+            .hosts
+            .values()
+            .filter(|host| host.role == ListedRole::Entry);
+        entries.map(|host| host.control_address)
     }
 
     fn shows(&self, host: &plan::PlanHost) -> bool {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use http_body_util::Full;
 use ledgespool::control_message::HostStatus;
 use ledgespool::http_client::{self, SmallAnswer};
-use ledgespool::roster::{ListedHost, ListedState};
+use ledgespool::roster::{ListedHost, ListedRole, ListedState};
 use ledgespool::rpc::{NoParams, method};
 use ledgespool::rpc_client::ControlClient;
 use ledgespool::standin::backend::{BackendFaults, BackendLog};
@@ -416,6 +416,7 @@
             .map(|host| ListedHost {
                 name: host.name.clone(),
                 control_address: host.control,
+                role: ListedRole::Entry,
                 state: ListedState::Live,
             })
             .collect();
@@ -567,7 +568,8 @@
     pub bytes: usize,
     /// Every so many requests is a claimed release; 0 for none.
     pub release_every: u64,
-    pub from: Option<net::IpAddr>,
+    /// Callers live in this region's blocks, each in one of its own: 1 for the first.
+    pub from_region: Option<u8>,
     pub extra_query: &'static str,
     pub deadline: Duration,
 }
@@ -580,7 +582,7 @@
             work_ms: 10,
             bytes: 2_000,
             release_every: 0,
-            from: None,
+            from_region: None,
             extra_query: "",
             deadline: Duration::from_secs(30),
         }
@@ -630,7 +632,10 @@
         if plan.release_every > 0 && number % plan.release_every == 0 {
             request = release_request(&id, &new_key(&id), plan.work_ms);
         }
-        request.from = plan.from;
+        let block = u8::try_from(caller % 256).expect("a byte");
+        request.from = plan
+            .from_region
+            .map(|region| net::IpAddr::from([10, region, block, 7]));
         request.deadline = plan.deadline;
         request.extra_query.push_str(plan.extra_query);
         let result = client.send(&request).await;
--- a/tests/promise_budget.rs
+++ b/tests/promise_budget.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::net::{IpAddr, Ipv4Addr};
 use std::time::{Duration, Instant};
 
 use common::{Crowd, CrowdPlan, System, SystemPlan, assert_truthful};
@@ -184,10 +183,9 @@
         ..SystemPlan::default()
     };
     let mut system = System::start(plan).await;
-    let from = IpAddr::V4(Ipv4Addr::new(10, 1, 7, 7));
     let entries = system.entries();
     let plan = CrowdPlan {
-        from: Some(from),
+        from_region: Some(1),
         extra_query: "&moved=1",
         ..crowd("moved", 12)
     };
--- /dev/null
+++ b/tests/promise_drain.rs
@@ -0,0 +1,257 @@
+//! A leaving server gets no new work, a planned stop cuts no request, callers are told to look up
+//! again.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Crowd, CrowdPlan, Sent, System, SystemPlan, assert_truthful};
+use ledgespool::result_code::RequestOutcome;
+use ledgespool::roster::{ListedHost, ListedRole, ListedState};
+use ledgespool::standin::backend::BackendFaults;
+use ledgespool::standin::platform::PlatformFaults;
+use ledgespool::timer;
+
+/// Several seconds on a busy machine: the verdict is that work stops, the page gives the figures.
+const A_FEW_SECONDS_MS: u64 = 6_000;
+
+fn two_servers() -> SystemPlan {
+    SystemPlan {
+        servers_per_hall: 2,
+        slots: 8,
+        ..SystemPlan::default()
+    }
+}
+
+/// The time from `since` to the last request that the server was given.
+async fn last_work_after(system: &System, server: usize, since: u64) -> u64 {
+    let log = system.server_log(server).await;
+    let last = log
+        .runs
+        .iter()
+        .map(|run| run.began_unix_ms)
+        .max()
+        .unwrap_or(0);
+    last.saturating_sub(since)
+}
+
+/// Sends on for a while after the leave and checks that the server was left alone and nobody hurt.
+async fn assert_left_alone(system: &System, crowd: Crowd, server: usize, since: u64, how: &str) {
+    tokio::time::sleep(Duration::from_millis(A_FEW_SECONDS_MS + 2_000)).await;
+    let sent = crowd.stop().await;
+    let last = last_work_after(system, server, since).await;
+    println!("{how}: the last new work came {last} ms after the leave");
+    assert!(
+        last < A_FEW_SECONDS_MS,
+        "{how}: new work {last} ms after the leave"
+    );
+    assert_all_whole(&sent);
+}
+
+fn assert_all_whole(sent: &[Sent]) {
+    for sent in sent {
+        let fine = sent.result.whole || sent.result.outcome == Some(RequestOutcome::NotRun);
+        assert!(fine, "neither whole nor refused unrun: {sent:?}");
+    }
+    assert!(
+        common::count(sent, Some(RequestOutcome::Answered)) > 50,
+        "work went on"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_server_drained_by_an_operator_is_left_alone() {
+    let system = System::start(two_servers()).await;
+    let crowd = Crowd::start(
+        &system.entries(),
+        &CrowdPlan {
+            name: "operator",
+            ..CrowdPlan::default()
+        },
+    );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let drained = system.cli(&["drain", "--wait"], &["server", "desk-perth-1-0"]);
+    assert!(drained.status.success());
+    let since = timer::unix_millis();
+    assert_left_alone(&system, crowd, 0, since, "operator").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_server_that_says_it_leaves_is_left_alone_also_during_an_outage() {
+    let system = System::start(two_servers()).await;
+    system
+        .set_platform(PlatformFaults {
+            down: true,
+            ..PlatformFaults::default()
+        })
+        .await;
+    let crowd = Crowd::start(
+        &system.entries(),
+        &CrowdPlan {
+            name: "self",
+            ..CrowdPlan::default()
+        },
+    );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    system
+        .set_server(
+            0,
+            BackendFaults {
+                leaving: true,
+                ..BackendFaults::default()
+            },
+        )
+        .await;
+    let since = timer::unix_millis();
+    assert_left_alone(&system, crowd, 0, since, "the server itself").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_server_that_the_platform_lists_as_leaving_is_left_alone() {
+    let system = System::start(two_servers()).await;
+    let crowd = Crowd::start(
+        &system.entries(),
+        &CrowdPlan {
+            name: "listed",
+            ..CrowdPlan::default()
+        },
+    );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut list: Vec<ListedHost> = system
+        .hosts
+        .iter()
+        .map(|host| ListedHost {
+            name: host.name.clone(),
+            control_address: host.control,
+            role: ListedRole::Entry,
+            state: ListedState::Live,
+        })
+        .collect();
+    let server = &system.servers[0];
+    list.push(ListedHost {
+        name: server.name.clone(),
+        control_address: server.address,
+        role: ListedRole::Server,
+        state: ListedState::Leaving,
+    });
+    common::put(system.platform, "/admin/hosts", &list).await;
+    let since = timer::unix_millis();
+    assert_left_alone(&system, crowd, 0, since, "the platform's list").await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_hall_drained_under_load_with_long_answers_cuts_nothing() {
+    let plan = SystemPlan {
+        regions: vec![
+            ("perth", vec!["perth-1", "perth-2"]),
+            ("bunbury", vec!["bunbury-1"]),
+        ],
+        hosts: vec!["perth-1", "perth-2", "bunbury-1"],
+        slots: 12,
+        ..SystemPlan::default()
+    };
+    let system = System::start(plan).await;
+    let long = CrowdPlan {
+        name: "hall",
+        bytes: 90_000,
+        extra_query: "&pace_ms=100",
+        callers: 14,
+        from_region: Some(1),
+        ..CrowdPlan::default()
+    };
+    let crowd = Crowd::start(&system.entries(), &long);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let drained = system.cli(&["drain", "--wait"], &["hall", "perth-1"]);
+    let text = String::from_utf8_lossy(&drained.stdout).into_owned();
+    assert!(
+        drained.status.success() && text.contains("drained after"),
+        "{text}"
+    );
+    println!("hall: {text}");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let sent = crowd.stop().await;
+    assert_all_whole(&sent);
+    assert_truthful(&sent, &system.runs().await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn entry_hosts_stopped_one_after_the_other_under_load_cut_nothing() {
+    let mut system = System::start(SystemPlan {
+        slots: 12,
+        ..SystemPlan::default()
+    })
+    .await;
+    let long = CrowdPlan {
+        name: "stop",
+        callers: 8,
+        bytes: 120_000,
+        extra_query: "&pace_ms=100",
+        release_every: 4,
+        ..CrowdPlan::default()
+    };
+    let crowd = Crowd::start(&system.entries(), &long);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for index in 0..2 {
+        system.hosts[index].process.signal("-TERM");
+        assert_eq!(
+            system.hosts[index].process.wait(),
+            Some(0),
+            "it stops by itself"
+        );
+        system.hosts[index].process = common::spawn_host(&system.hosts[index].settings);
+        system.wait_ready().await;
+    }
+    let sent = crowd.stop().await;
+    let told = sent.iter().filter(|sent| sent.result.look_up_again).count();
+    assert!(told > 0, "callers are told to look up again");
+    for sent in &sent {
+        let cut = sent.result.outcome.is_some()
+            && !sent.result.whole
+            && sent.result.outcome != Some(RequestOutcome::NotRun);
+        assert!(!cut, "cut: {sent:?}");
+        assert!(sent.result.outcome.is_some(), "no answer at all: {sent:?}");
+    }
+    assert_truthful(&sent, &system.runs().await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_drained_entry_host_is_offered_to_nobody() {
+    let system = System::start(SystemPlan {
+        slots: 12,
+        ..SystemPlan::default()
+    })
+    .await;
+    let crowd = Crowd::start(
+        &system.entries(),
+        &CrowdPlan {
+            name: "host",
+            ..CrowdPlan::default()
+        },
+    );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(
+        system
+            .cli(&["drain"], &["host", "entry-2"])
+            .status
+            .success()
+    );
+    common::until("no look-up names the drained host", || async {
+        let mut named = false;
+        for host in &system.hosts {
+            let answer =
+                ledgespool::standin::caller::ask(host.callers, common::SERVICE, None).await;
+            named |=
+                answer.is_none_or(|answer| answer.hosts.iter().any(|host| host.name == "entry-2"));
+        }
+        !named
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = common::status(system.hosts[1].control)
+        .await
+        .expect("a status")
+        .in_flight;
+    let sent = crowd.stop().await;
+    assert_eq!(before, 0, "nothing runs on the drained host");
+    assert_all_whole(&sent);
+}
