--- a/src/membership.rs
+++ b/src/membership.rs
@@ -261,22 +261,16 @@
             .map(|entry| target_of(&entry.record))
     }
 
-    /// One address that belongs to no live member: a host not met yet, or one cut off before.
+    /// One address that belongs to no live member: a host not met yet, or one lost before.
     fn seed_target(&mut self, chosen: &[HeartbeatTarget]) -> Option<HeartbeatTarget> {
-        let live = |address: &net::SocketAddr| {
-            self.members.values().any(|entry| {
-                entry.record.control_address == *address
-                    && entry.record.state != member::HostState::Dead
-            })
-        };
-        let candidates: Vec<net::SocketAddr> = self
-            .seeds
-            .iter()
-            .copied()
-            .filter(|address| {
-                !live(address) && !chosen.iter().any(|target| target.address == *address)
-            })
-            .collect();
+        let mut candidates = self.lost_addresses();
+        candidates.extend(
+            self.seeds
+                .iter()
+                .copied()
+                .filter(|&address| !self.is_live(address)),
+        );
+        candidates.retain(|&address| !chosen.iter().any(|target| target.address == address));
         if candidates.is_empty() {
             return None;
         }
@@ -288,6 +282,21 @@
         })
     }
 
+    fn is_live(&self, address: net::SocketAddr) -> bool {
+        self.members.values().any(|entry| {
+            entry.record.control_address == address && entry.record.state != member::HostState::Dead
+        })
+    }
+
+    /// Addresses of dead hosts: a cut between regions ends some time, and nobody else may know.
+    fn lost_addresses(&self) -> Vec<net::SocketAddr> {
+        let dead = self
+            .members
+            .values()
+            .filter(|entry| entry.record.state == member::HostState::Dead);
+        dead.map(|entry| entry.record.control_address).collect()
+    }
+
     /// The records to put on a heartbeat or its answer.
     pub fn rumors_for(&mut self, peer: Option<&str>, full: bool) -> Vec<member::MemberRecord> {
         if full {
