Hold requests that will get a unit in time, and keep the naive baseline

Cause: with 3 or 9 slots a server and 9 hosts, refusing whatever finds no free unit turns away requests that would have had one a moment later (Erlang's loss against delay). Change: the steering role holds a request in a bounded line, heavier classes first, if its expected wait and answer fit its deadline, and refuses it at once otherwise; waiting counts as demand for the planner. The module is split by concept. Also: config role properties, and a test whose demand jumps between hosts while long requests run.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,9 @@
 use std::{net, path};
 
 use crate::error;
+use crate::result_code::ResultCode;
 use crate::source;
+use crate::steering::SteeringPolicy;
 
 const DEFAULT_BODY_BYTES: u32 = 1 << 20;
 const DEFAULT_CONNECTIONS: u32 = 4_096;
@@ -37,6 +39,8 @@
     pub max_connections: u32,
     /// Where metrics go (statsd over UDP); none by default.
     pub metrics_address: Option<net::SocketAddr>,
+    /// Which decisions the workers take; anything but the default is for measurements.
+    pub policy: SteeringPolicy,
     /// Seed of all random choices; 0 takes one from the clock.
     pub seed: u32,
 }
@@ -57,12 +61,7 @@
     let mut problems = source::ProblemList::default();
     let settings = source::read_object(0, text, &mut problems, read_settings);
     problems.into_result(std::slice::from_ref(text))?;
-    settings.ok_or_else(|| {
-        error::Error::with_code(
-            crate::result_code::ResultCode::SyntaxInvalid,
-            text.name.clone(),
-        )
-    })
+    settings.ok_or_else(|| error::Error::with_code(ResultCode::SyntaxInvalid, text.name.clone()))
 }
 
 fn read_settings(reader: &mut source::ObjectReader<'_, '_>) -> HostSettings {
@@ -84,6 +83,19 @@
             .optional_integer("max_connections", 1..=100_000)
             .unwrap_or(DEFAULT_CONNECTIONS),
         metrics_address: reader.optional_parsed("metrics_address", "IP:PORT"),
+        policy: read_policy(reader),
         seed: reader.optional_integer("seed", 0..=u32::MAX).unwrap_or(0),
     }
 }
+
+fn read_policy(reader: &mut source::ObjectReader<'_, '_>) -> SteeringPolicy {
+    match reader.optional_string("policy").as_deref() {
+        None | Some("steered") => SteeringPolicy::Steered,
+        Some("naive") => SteeringPolicy::Naive,
+        Some(other) => {
+            let message = format!("`policy` is {other:?}, not \"steered\" or \"naive\"");
+            reader.fault(ResultCode::ValueOutOfRange, message);
+            SteeringPolicy::Steered
+        }
+    }
+}
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -17,6 +17,7 @@
 use crate::rpc::{ChangeParams, ChangeResult, NoParams, method};
 use crate::rpc_client::ControlClient;
 use crate::settings::HostSettings;
+use crate::steering::SteeringPolicy;
 
 const TOKEN: &str = "demo-operator-token";
 const PEER_TOKEN: &str = "demo-peer-token";
@@ -84,6 +85,7 @@
             max_body_bytes: 1 << 20,
             max_connections: 4_096,
             metrics_address: None,
+            policy: SteeringPolicy::Steered,
             seed: u32::try_from(number).unwrap_or(0) + 1,
         }
     }
--- a/src/standin/load.rs
+++ b/src/standin/load.rs
@@ -174,7 +174,8 @@
     classes: Vec<ClassCounter>,
     halls: collections::BTreeMap<String, u64>,
     codes: collections::BTreeMap<String, u64>,
-    callers: Vec<CallerClient>,
+    /// Idle callers by the address that they have.
+    callers: collections::HashMap<Option<net::IpAddr>, Vec<CallerClient>>,
 }
 
 struct Arrival {
@@ -189,7 +190,7 @@
         classes: plan.mix.iter().map(new_counter).collect(),
         halls: collections::BTreeMap::new(),
         codes: collections::BTreeMap::new(),
-        callers: Vec::new(),
+        callers: collections::HashMap::new(),
     }));
     let began = tokio::time::Instant::now();
     let local = tokio::task::LocalSet::new();
@@ -265,7 +266,8 @@
     arrival: Arrival,
     come_back: bool,
 ) {
-    let taken = state.borrow_mut().callers.pop();
+    let from = arrival.request.from;
+    let taken = state.borrow_mut().callers.entry(from).or_default().pop();
     let mut caller = taken.unwrap_or_else(|| CallerClient::with_entries(entries));
     let deadline = arrival.at + arrival.request.deadline;
     let mut attempt = 0;
@@ -284,7 +286,7 @@
         }
     };
     let mut state = state.borrow_mut();
-    state.callers.push(caller);
+    state.callers.entry(from).or_default().push(caller);
     note_result(&mut state, &arrival, &result);
 }
 
--- /dev/null
+++ b/src/steering/unit.rs
@@ -0,0 +1,58 @@
+//! How one worker uses its slice of a grant.
+
+/// Use of a place or route by this worker.
+#[derive(Debug, Default)]
+pub(super) struct UnitCounter {
+    pub(super) grant: u32,
+    pub(super) in_use: u32,
+    pub(super) peak: u32,
+    pub(super) completed: u32,
+    pub(super) refused: u32,
+    pub(super) refused_ms: f64,
+    pub(super) waiting: u32,
+}
+
+impl UnitCounter {
+    pub(super) const fn has_room(&self, reserve: u32) -> bool {
+        self.in_use < self.grant.saturating_sub(reserve)
+    }
+
+    pub(super) const fn take(&mut self) {
+        self.in_use += 1;
+        if self.in_use > self.peak {
+            self.peak = self.in_use;
+        }
+    }
+
+    pub(super) const fn put_back(&mut self) {
+        self.in_use = self.in_use.saturating_sub(1);
+    }
+}
+
+/// How long a class's answers take, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AnswerEstimate {
+    pub(super) answer_ms: f64,
+    pub(super) fastest_ms: f64,
+}
+
+impl AnswerEstimate {
+    /// What is assumed of a class that was never answered.
+    pub(super) const FIRST: Self = Self {
+        answer_ms: 20.0,
+        fastest_ms: 0.0,
+    };
+    const AVERAGE_WEIGHT: f64 = 0.1;
+    /// The fastest answer seen is forgotten at this rate, should the class have become slower.
+    const FASTEST_DRIFT: f64 = 1.01;
+
+    /// An answer came after so many milliseconds.
+    pub(super) fn note(&mut self, answer_ms: f64) {
+        self.answer_ms += Self::AVERAGE_WEIGHT * (answer_ms - self.answer_ms);
+        self.fastest_ms = if self.fastest_ms == 0.0 {
+            answer_ms
+        } else {
+            answer_ms.min(self.fastest_ms * Self::FASTEST_DRIFT)
+        };
+    }
+}
--- a/src/worker/forward.rs
+++ b/src/worker/forward.rs
@@ -15,6 +15,7 @@
 use super::head::{self, RequestHead};
 use super::pool::PooledConnection;
 use super::route;
+use super::wait;
 use super::{WorkerState, with_worker};
 use crate::block_map::BlockPlace;
 use crate::claim::{ClaimAttempt, ClaimKey};
@@ -24,7 +25,9 @@
 use crate::event::EventCode;
 use crate::http_client::{self, ExchangeFault};
 use crate::result_code::ResultCode;
-use crate::steering::{AttemptResult, COME_BACK_LONG_MS, RequestAdmission, RequestFacts};
+use crate::steering::{
+    AdmitDecision, AttemptResult, COME_BACK_LONG_MS, RequestAdmission, RequestFacts, RequestRefusal,
+};
 use crate::timer::{self, Moment};
 
 /// A connection to a backend server must open within this time.
@@ -151,7 +154,7 @@
 
 async fn run_request(request: &CallerRequest) -> Result<http::Response<Body>, CallerRefusal> {
     let key = read_claim_key(&request.head)?;
-    let admission = admit(request)?;
+    let admission = admit(request).await?;
     let mut held = HeldRequest::new(admission, request);
     if let Some(key) = key {
         claim(&mut held, key).await?;
@@ -184,12 +187,13 @@
     Ok(Some(key))
 }
 
-fn admit(request: &CallerRequest) -> Result<RequestAdmission, CallerRefusal> {
-    let admitted = with_worker(|worker| {
+async fn admit(request: &CallerRequest) -> Result<RequestAdmission, CallerRefusal> {
+    let decision = with_worker(|worker| {
         let now = worker.now();
-        let place = request.place;
         let topology = worker.steering.topology();
-        let home = place.and_then(|place| topology?.region_of(place.hall));
+        let home = request
+            .place
+            .and_then(|place| topology?.region_of(place.hall));
         let time_left_ms = request
             .head
             .time_left_ms
@@ -198,13 +202,20 @@
             service: &request.head.service,
             class: &request.head.class,
             home,
-            block_hash: place.map_or(0, |place| place.hash),
+            block_hash: request.place.map_or(0, |place| place.hash),
             time_left_ms,
         };
         worker.steering.admit(&facts, now)
     });
-    let admitted = admitted.ok_or_else(answer::internal_refusal)?;
-    admitted.map_err(|refusal| CallerRefusal::with_code(refusal.code, refusal.retry_after_ms))
+    match decision.ok_or_else(answer::internal_refusal)? {
+        AdmitDecision::Admitted(admission) => Ok(admission),
+        AdmitDecision::Refused(refusal) => Err(refused(refusal)),
+        AdmitDecision::Waiting(ticket) => wait::for_unit(ticket).await.map_err(refused),
+    }
+}
+
+const fn refused(refusal: RequestRefusal) -> CallerRefusal {
+    CallerRefusal::with_code(refusal.code, refusal.retry_after_ms)
 }
 
 /// Claims the key before anything is sent. The request holds the claim from the start, so that it
@@ -333,7 +344,7 @@
             self.settle(None);
         }
         if !std::mem::replace(&mut self.finished, true) {
-            with_worker(|worker| worker.steering.finish(&self.admission));
+            with_worker(|worker| worker.give_back(&self.admission));
         }
     }
 }
--- a/src/worker/mod.rs
+++ b/src/worker/mod.rs
@@ -9,6 +9,7 @@
 mod head;
 mod pool;
 mod route;
+mod wait;
 
 use std::{cell, net, sync, thread, time};
 
@@ -89,6 +90,7 @@
     generation: u64,
     leaving_since: Option<Moment>,
     pool: pool::ConnectionPool,
+    waiters: wait::WaiterTable,
     requests: u64,
 }
 
@@ -136,6 +138,7 @@
             }
             WorkerOrder::LeavingServers(names) => self.steering.set_leaving_servers(&names),
         }
+        self.wake_ready();
         self.report(now);
     }
 
@@ -194,7 +197,7 @@
     let state = WorkerState {
         number,
         metrics: WorkerMetrics::from_settings(&settings),
-        steering: SteeringRole::new(&settings.hall, seed),
+        steering: SteeringRole::new(&settings.hall, settings.policy, seed),
         settings,
         identity,
         control,
@@ -205,6 +208,7 @@
         generation: 0,
         leaving_since: None,
         pool: pool::ConnectionPool::default(),
+        waiters: wait::WaiterTable::default(),
         requests: 0,
     };
     WORKER.with(|worker| *worker.borrow_mut() = Some(state));
--- /dev/null
+++ b/src/worker/wait.rs
@@ -0,0 +1,96 @@
+//! Requests that wait for a unit: whoever gets one is woken, and whoever goes away leaves the line.
+
+use std::collections;
+
+use tokio::sync::oneshot;
+
+use super::{WorkerState, answer, with_worker};
+use crate::steering::{AttemptResult, RequestAdmission, RequestRefusal, WaitTicket};
+
+/// An admission on its way to the request that waited for it. Whoever loses it gives it back.
+#[derive(Debug)]
+pub(super) struct AdmissionGuard {
+    admission: Option<RequestAdmission>,
+}
+
+impl Drop for AdmissionGuard {
+    fn drop(&mut self) {
+        if let Some(admission) = self.admission.take() {
+            with_worker(|worker| worker.abandon(&admission));
+        }
+    }
+}
+
+type WaitResult = Result<AdmissionGuard, RequestRefusal>;
+
+/// The requests of a worker that wait.
+#[derive(Debug, Default)]
+pub(super) struct WaiterTable {
+    waiters: collections::HashMap<WaitTicket, oneshot::Sender<WaitResult>>,
+}
+
+/// Leaves the line when the caller goes away.
+struct LineGuard(WaitTicket);
+
+impl Drop for LineGuard {
+    fn drop(&mut self) {
+        with_worker(|worker| {
+            if worker.waiters.waiters.remove(&self.0).is_some() {
+                worker.steering.cancel_wait(self.0);
+            }
+        });
+    }
+}
+
+/// Waits until the request gets a unit or is refused.
+pub(super) async fn for_unit(ticket: WaitTicket) -> Result<RequestAdmission, RequestRefusal> {
+    let (sender, receiver) = oneshot::channel();
+    with_worker(|worker| worker.waiters.waiters.insert(ticket, sender));
+    let _guard = LineGuard(ticket);
+    let unanswered = answer::internal_refusal();
+    let unanswered = RequestRefusal {
+        code: unanswered.code,
+        retry_after_ms: unanswered.retry_after_ms,
+    };
+    let mut guard = receiver.await.unwrap_or(Err(unanswered))?;
+    guard.admission.take().ok_or(unanswered)
+}
+
+impl WorkerState {
+    /// Gives the units of a finished request back, and on to whoever waits for them.
+    pub(super) fn give_back(&mut self, admission: &RequestAdmission) {
+        self.steering.finish(admission);
+        self.wake_ready();
+    }
+
+    /// Gives an admission back that was never used.
+    fn abandon(&mut self, admission: &RequestAdmission) {
+        let now = self.now();
+        self.steering
+            .end_attempt(admission, AttemptResult::Abandoned, None, now);
+        self.give_back(admission);
+    }
+
+    /// Tells the requests whose waiting has ended.
+    pub(super) fn wake_ready(&mut self) {
+        let now = self.now();
+        for end in self.steering.take_ready(now) {
+            let result = end.result.map(|admission| AdmissionGuard {
+                admission: Some(admission),
+            });
+            let waiter = self.waiters.waiters.remove(&end.ticket);
+            let unused = match waiter {
+                Some(sender) => sender.send(result).err(),
+                None => Some(result),
+            };
+            // The guard must not give it back itself: this worker is borrowed here.
+            if let Some(Ok(mut guard)) = unused
+                && let Some(admission) = guard.admission.take()
+            {
+                self.steering
+                    .end_attempt(&admission, AttemptResult::Abandoned, None, now);
+                self.steering.finish(&admission);
+            }
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -151,6 +151,8 @@
     /// Whether the hosts reach the platform through a proxy of their own each.
     pub platform_proxies: bool,
     pub list_hosts: bool,
+    /// `steered` or `naive`.
+    pub policy: &'static str,
 }
 
 impl Default for SystemPlan {
@@ -164,6 +166,7 @@
             shift_share: 1.0,
             platform_proxies: false,
             list_hosts: true,
+            policy: "steered",
         }
     }
 }
@@ -280,9 +283,10 @@
             .collect();
         let settings = self.dir.join(format!("{name}.jsonc"));
         let text = format!(
-            "// written by a test\n{{ \"name\": \"{name}\", \"hall\": \"{hall}\", \"caller_address\": \"{callers}\", \"control_address\": \"{control}\",\n  \"platform_address\": \"{platform}\", \"peers\": [{}], \"operator_token\": \"{TOKEN}\", \"peer_token\": \"{PEER_TOKEN}\",\n  \"trusted_forwarders\": [\"127.0.0.1\"], \"seed\": {} }}\n",
+            "// written by a test\n{{ \"name\": \"{name}\", \"hall\": \"{hall}\", \"caller_address\": \"{callers}\", \"control_address\": \"{control}\",\n  \"platform_address\": \"{platform}\", \"peers\": [{}], \"operator_token\": \"{TOKEN}\", \"peer_token\": \"{PEER_TOKEN}\",\n  \"trusted_forwarders\": [\"127.0.0.1\"], \"seed\": {}, \"policy\": \"{}\" }}\n",
             peers.join(", "),
-            index + 1
+            index + 1,
+            self.plan.policy
         );
         fs::write(&settings, text).expect("settings are written");
         let process = spawn_host(&settings);
--- a/tests/promise_budget.rs
+++ b/tests/promise_budget.rs
@@ -126,8 +126,6 @@
     })
     .await;
     let busy = system.hosts[0].callers;
-    let callers = ledgespool::standin::caller::CallerClient::with_entries(vec![busy]);
-    drop(callers);
     let stop = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
     let mut tasks = Vec::new();
     for caller in 0..8 {
@@ -166,6 +164,49 @@
     assert_no_hall_overrun(&system).await;
 }
 
+/// Demand jumps between two hosts of a region while long requests run: what one gives up is still
+/// in use when the other asks for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn units_on_the_move_are_never_used_twice() {
+    let system = System::start(SystemPlan {
+        slots: SLOTS,
+        ..SystemPlan::default()
+    })
+    .await;
+    let mut sent = Vec::new();
+    for turn in 0..6 {
+        let entry = system.hosts[turn % 2].callers;
+        let mut tasks = Vec::new();
+        for caller in 0..10 {
+            tasks.push(tokio::spawn(async move {
+                let mut client =
+                    ledgespool::standin::caller::CallerClient::with_entries(vec![entry]);
+                let end = Instant::now() + Duration::from_millis(2_500);
+                let mut number = 0;
+                let mut sent = Vec::new();
+                while Instant::now() < end {
+                    number += 1;
+                    let id = format!("jump-{turn}-{caller}-{number}");
+                    let result = client
+                        .send_to(entry, &common::read_request(&id, 900, 10))
+                        .await;
+                    sent.push(common::Sent {
+                        id,
+                        key: None,
+                        result,
+                    });
+                }
+                sent
+            }));
+        }
+        for task in tasks {
+            sent.extend(task.await.expect("a caller"));
+        }
+    }
+    assert_no_hall_overrun(&system).await;
+    assert_truthful(&sent, &system.runs().await);
+}
+
 fn busy_control(system: &System) -> std::net::SocketAddr {
     system.hosts[0].control
 }
--- a/tests/roles_claims.rs
+++ b/tests/roles_claims.rs
@@ -16,7 +16,7 @@
     window_ms: 900_000,
 };
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 enum Event {
     Claim(usize, u64),
     Tick(usize, u64),
