Let a leaving host keep its units until its callers have looked up again

Change: the host gives its units back only after the grace time, and has two seconds for it before it ends; every answer of a leaving host, refusals too, carries the look-up hint.

--- a/src/controller/grants.rs
+++ b/src/controller/grants.rs
@@ -13,7 +13,7 @@
             identity: self.membership.me().identity.clone(),
             control_address: self.membership.me().control_address,
             hall: self.membership.me().hall.clone(),
-            leaving: self.is_leaving(),
+            leaving: self.gives_units_back(now),
             installed: self
                 .workers
                 .iter()
--- a/src/controller/leaving.rs
+++ b/src/controller/leaving.rs
@@ -2,7 +2,9 @@
 
 use std::sync;
 
-use super::{HostController, LEAVE_GRACE_MS, LEAVING_LIFE_MS, MAX_LEAVING, STOP_ALARM_MS};
+use super::{
+    GIVE_BACK_MS, HostController, LEAVE_GRACE_MS, LEAVING_LIFE_MS, MAX_LEAVING, STOP_ALARM_MS,
+};
 use crate::control_message::ControlAction;
 use crate::declaration::DrainKind;
 use crate::event::EventCode;
@@ -21,6 +23,13 @@
         self.stopping.is_some() || drained || self.roster.is_leaving(name)
     }
 
+    /// A leaving host keeps its units while callers may still come by their kept look-ups; after
+    /// that it gives them back.
+    pub(super) fn gives_units_back(&self, now: Moment) -> bool {
+        self.leaving_since
+            .is_some_and(|since| now.since(since) >= LEAVE_GRACE_MS)
+    }
+
     pub(super) fn note_leaving_server(&mut self, name: String, since: Moment) {
         let known = self.leaving_servers.contains_key(&name);
         if !known && self.leaving_servers.len() >= MAX_LEAVING {
@@ -71,7 +80,7 @@
             return;
         };
         let in_flight: u32 = self.workers.iter().map(|worker| worker.in_flight).sum();
-        if now.since(since) >= LEAVE_GRACE_MS && in_flight == 0 {
+        if now.since(since) >= LEAVE_GRACE_MS + GIVE_BACK_MS && in_flight == 0 {
             self.actions.push(ControlAction::Finished);
         } else if now.since(since) >= STOP_ALARM_MS && !self.stop_alarmed {
             self.stop_alarmed = true;
--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -44,6 +44,8 @@
 /// A leaving host keeps serving for this long, until look-ups have stopped naming it: their time
 /// to live and the spread of its leaving.
 pub const LEAVE_GRACE_MS: u64 = 3_500;
+/// Then it has this long to give its units back, so that nobody waits for the platform's list.
+const GIVE_BACK_MS: u64 = 2_000;
 /// A stop that takes longer than this raises an alarm; nothing is cut.
 const STOP_ALARM_MS: u64 = 60_000;
 
@@ -86,6 +88,7 @@
     next_heartbeat: Moment,
     next_report: Moment,
     next_hosts: Moment,
+    leaving_since: Option<Moment>,
     stopping: Option<Moment>,
     stop_alarmed: bool,
     now: Moment,
@@ -138,6 +141,7 @@
             next_heartbeat: now,
             next_report: now,
             next_hosts: now,
+            leaving_since: None,
             stopping: None,
             stop_alarmed: false,
             now,
@@ -291,6 +295,7 @@
     fn after_input(&mut self, now: Moment) {
         let leaving = self.is_leaving();
         if leaving != (self.membership.me().state == HostState::Leaving) {
+            self.leaving_since = leaving.then_some(now);
             self.membership.set_leaving(leaving);
             self.actions.push(ControlAction::SetLeaving(leaving));
             self.next_heartbeat = Moment::default();
--- a/src/worker/answer.rs
+++ b/src/worker/answer.rs
@@ -91,9 +91,6 @@
         put(headers, RETRY_HEADER, &millis.to_string());
         put(headers, "retry-after", &millis.div_ceil(1_000).to_string());
     }
-    if refusal.code == ResultCode::HostLeaving {
-        put(headers, LOOKUP_HEADER, "again");
-    }
     response
 }
 
@@ -114,6 +111,11 @@
     }
 }
 
+/// Tells the caller to look up before its next request.
+pub(super) fn send_to_look_up(headers: &mut http::HeaderMap) {
+    put(headers, LOOKUP_HEADER, "again");
+}
+
 /// Marks the head of a server's answer for the caller.
 pub(super) fn mark_answered(
     headers: &mut http::HeaderMap,
@@ -126,7 +128,7 @@
     put(headers, REQUEST_HEADER, request_id);
     put(headers, "x-ledgespool-hall", hall);
     if leaving {
-        put(headers, LOOKUP_HEADER, "again");
+        send_to_look_up(headers);
         headers.insert(
             http::header::CONNECTION,
             http::HeaderValue::from_static("close"),
--- a/src/worker/forward.rs
+++ b/src/worker/forward.rs
@@ -49,12 +49,21 @@
         let mut state = state;
         let response = match forward_request(&mut state).await {
             Ok(response) => response,
-            Err(refusal) => answer::refusal_response(&refusal),
+            Err(refusal) => refuse(&refusal),
         };
         Ok((state, response))
     })
 }
 
+/// A refusal; one by a leaving host sends its caller to look up again.
+fn refuse(refusal: &CallerRefusal) -> http::Response<Body> {
+    let mut response = answer::refusal_response(refusal);
+    if with_worker(|worker| worker.leaving_since.is_some()) == Some(true) {
+        answer::send_to_look_up(response.headers_mut());
+    }
+    response
+}
+
 /// A request on its way, read and checked.
 struct CallerRequest {
     head: RequestHead,
