--- a/src/controller/mod.rs
+++ b/src/controller/mod.rs
@@ -39,6 +39,9 @@
 const REPORT_MS: u64 = 500;
 /// Time between two reads of the platform's host list.
 const HOSTS_MS: u64 = 2_000;
+/// The same for a host that neither plans nor watches for its hall: what matters of the list
+/// reaches it by heartbeats.
+const HOSTS_IDLE_MS: u64 = 20_000;
 /// Pause after a failed watch.
 const WATCH_RETRY_MS: u64 = 500;
 /// A leaving host keeps serving for this long, until look-ups have stopped naming it: their time
@@ -241,7 +244,7 @@
             self.send_report(now);
         }
         if now >= self.next_hosts {
-            self.next_hosts = now.plus(HOSTS_MS);
+            self.next_hosts = now.plus(self.hosts_period_ms());
             self.actions.push(ControlAction::Platform(
                 CallPurpose::Hosts,
                 PlatformCall::Hosts,
@@ -252,6 +255,14 @@
         self.check_stop(now);
     }
 
+    fn hosts_period_ms(&self) -> u64 {
+        if self.planner.is_leader() || self.is_hall_watcher() {
+            HOSTS_MS
+        } else {
+            HOSTS_IDLE_MS
+        }
+    }
+
     fn tick_planner(&mut self, now: Moment) {
         let Some(topology) = self.topology.clone() else {
             return;
@@ -313,6 +324,7 @@
         }
         if self.planner.is_leader() != self.was_leader {
             self.was_leader = !self.was_leader;
+            self.next_hosts = now;
             let code = if self.was_leader {
                 EventCode::PlannerStarted
             } else {
