Hold numbers from outside to their ranges, and the docs to their links

Cause: sums and counts over numbers of peers, calls and platform objects could overflow (a panic in debug, a wrap in release), and a declaration that came by a call was not held to the ranges that its files are held to: slots of 4 billion would have kept a worker dealing them out.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -102,7 +102,18 @@
     pub entries: Vec<GrantEntry>,
 }
 
+/// A sum that stays at the largest number: an object from outside may hold any.
+pub(crate) fn total(units: impl Iterator<Item = u32>) -> u32 {
+    units.fold(0, u32::saturating_add)
+}
+
 impl PlaceBudget {
+    /// Units granted to hosts.
+    #[must_use]
+    pub fn granted_units(&self) -> u32 {
+        total(self.entries.iter().map(|entry| entry.grant))
+    }
+
     /// An empty budget.
     ///
     /// ```
@@ -122,7 +133,7 @@
     /// Units that hosts may be using.
     #[must_use]
     pub fn held_units(&self) -> u32 {
-        self.entries.iter().map(|entry| entry.held).sum()
+        total(self.entries.iter().map(|entry| entry.held))
     }
 
     /// Units that may be granted now.
@@ -144,7 +155,7 @@
     #[must_use]
     pub fn offset_of(&self, host: &member::HostIdentity) -> u32 {
         let before = self.entries.iter().filter(|entry| entry.host < *host);
-        before.map(|entry| entry.grant).sum()
+        total(before.map(|entry| entry.grant))
     }
 
     /// Lowers a host's grant as of plan `sequence`; its held units stay until it acknowledges.
@@ -180,7 +191,7 @@
         if over || units <= entry.grant {
             return entry.grant;
         }
-        entry.grant = units.min(entry.held + free);
+        entry.grant = units.min(entry.held.saturating_add(free));
         entry.held = entry.held.max(entry.grant);
         entry.grant
     }
--- a/src/config_object.rs
+++ b/src/config_object.rs
@@ -103,7 +103,8 @@
         let old = before.map_or(&empty, |object| object.declaration.as_ref());
         let declaration = changed_declaration(old, change)?;
         check(&declaration)?;
-        let generation = before.map_or(0, |object| object.generation) + 1;
+        let before_generation = before.map_or(0, |object| object.generation);
+        let generation = before_generation.saturating_add(1);
         let mut operations = before.map_or_else(Vec::new, |object| object.operations.clone());
         operations.push(AppliedOperation {
             id: operation.to_owned(),
--- a/src/control_message.rs
+++ b/src/control_message.rs
@@ -139,7 +139,7 @@
 }
 
 /// What reaches the controller.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub enum ControlInput {
     /// Time passed.
     Tick,
--- a/src/controller/grants.rs
+++ b/src/controller/grants.rs
@@ -45,10 +45,10 @@
         for usage in self.workers.iter().flat_map(|worker| &worker.usage) {
             match joined.iter_mut().find(|entry| entry.key == usage.key) {
                 Some(entry) => {
-                    entry.in_use += usage.in_use;
-                    entry.load_milli += usage.load_milli;
-                    entry.completed += usage.completed;
-                    entry.refused += usage.refused;
+                    entry.in_use = entry.in_use.saturating_add(usage.in_use);
+                    entry.load_milli = entry.load_milli.saturating_add(usage.load_milli);
+                    entry.completed = entry.completed.saturating_add(usage.completed);
+                    entry.refused = entry.refused.saturating_add(usage.refused);
                 }
                 None => joined.push(usage.clone()),
             }
--- a/src/declaration/check.rs
+++ b/src/declaration/check.rs
@@ -9,12 +9,19 @@
 /// The most client blocks that one declaration may make, for bounded memory on each entry host.
 pub const MAX_BLOCKS: u64 = 1_000_000;
 const MAX_NAME_LENGTH: usize = 64;
+/// The most slots of a backend server.
+pub(super) const MAX_SLOTS: u32 = 10_000;
+/// The largest weight of a class.
+pub(super) const MAX_WEIGHT: u32 = 1_000;
+/// The most requests at once in a place or on a link.
+pub(super) const MAX_CONCURRENT: u32 = 1_000_000;
 
 /// Checks every rule and records every fault, so that an operator sees all at once.
 pub fn check_declaration(declaration: &SteeringDeclaration, problems: &mut ProblemList) {
     check_names(declaration, problems);
     check_references(declaration, problems);
     check_services(declaration, problems);
+    check_ranges(declaration, problems);
     check_hall_sums(declaration, problems);
     check_link_sums(declaration, problems);
     check_blocks(&declaration.blocks, problems);
@@ -175,6 +182,32 @@
     }
 }
 
+/// The ranges of numbers, which a declaration that came by a call or from the platform has not
+/// been held to yet.
+fn check_ranges(declaration: &SteeringDeclaration, problems: &mut ProblemList) {
+    let mut need = |fits: bool, what: &str, name: &str, span| {
+        if !fits {
+            let message = format!("{what} of `{name}` lies outside its range");
+            problems.push(ResultCode::ValueOutOfRange, message, span);
+        }
+    };
+    for server in &declaration.servers {
+        let fits = (1..=MAX_SLOTS).contains(&server.slots);
+        need(fits, "`slots`", &server.name, server.span);
+    }
+    for hall in &declaration.halls {
+        let fits = (1..=MAX_CONCURRENT).contains(&hall.capacity);
+        need(fits, "`capacity`", &hall.name, hall.span);
+    }
+    for service in &declaration.services {
+        let fits = service.shift.concurrent <= MAX_CONCURRENT;
+        need(fits, "`shift.concurrent`", &service.name, service.span);
+        let mut weights = service.classes.iter().map(|class| class.weight);
+        let fits = weights.all(|weight| (1..=MAX_WEIGHT).contains(&weight));
+        need(fits, "`weight` of a class", &service.name, service.span);
+    }
+}
+
 fn check_hall_sums(declaration: &SteeringDeclaration, problems: &mut ProblemList) {
     for hall in &declaration.halls {
         let servers = declaration
--- a/src/declaration/read.rs
+++ b/src/declaration/read.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, path, time};
 
+use super::check::{MAX_CONCURRENT, MAX_SLOTS, MAX_WEIGHT};
 use super::{
     BlockEntry, ClassEntry, DEFAULT_CLAIM_WINDOW_MS, DEFAULT_RETRY_BUDGET, DrainEntry, DrainKind,
     DrainRule, HallEntry, LinkEntry, RegionEntry, ServerEntry, ServiceEntry, ShiftEntry, ShiftRule,
@@ -13,8 +14,6 @@
 
 const FILE_EXTENSION: &str = "jsonc";
 const DEFAULT_DRAIN_ALARM: time::Duration = time::Duration::from_mins(10);
-const MAX_WEIGHT: u32 = 1_000;
-const MAX_CONCURRENT: u32 = 1_000_000;
 
 /// Reads and checks all `*.jsonc` files of a directory, in the order of their names.
 ///
@@ -195,7 +194,7 @@
         service: reader.string("service"),
         hall: reader.string("hall"),
         address: reader.address("address"),
-        slots: reader.integer("slots", 1..=10_000),
+        slots: reader.integer("slots", 1..=MAX_SLOTS),
         connections: reader.integer("connections", 1..=100_000),
         span: Some(reader.span()),
     }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -388,7 +388,7 @@
     fn refute(&mut self, record: &member::MemberRecord) {
         if record.identity.incarnation == self.me.identity.incarnation && record.overrides(&self.me)
         {
-            self.me.refutation = record.refutation + 1;
+            self.me.refutation = record.refutation.saturating_add(1);
             self.spread(&self.me.identity.name.clone());
         }
     }
--- a/src/planner/draft.rs
+++ b/src/planner/draft.rs
@@ -17,7 +17,7 @@
     now: timer::Moment,
 ) -> plan::SteeringPlan {
     let mut draft = leader.committed.clone();
-    draft.sequence += 1;
+    draft.sequence = draft.sequence.saturating_add(1);
     draft.holder = me.clone();
     draft.generation = view.topology.generation;
     acknowledge_reports(&mut draft, reports);
@@ -173,11 +173,8 @@
     evidence: &collections::HashMap<budget::PlaceKey, (u64, u64)>,
     topology: &topology::SteeringTopology,
 ) -> ramp::RampEvidence {
-    let milli: u32 = loads
-        .iter()
-        .filter(|((_, place), _)| place == key)
-        .map(|(_, load)| load.milli)
-        .sum();
+    let of_place = loads.iter().filter(|((_, place), _)| place == key);
+    let milli = budget::total(of_place.map(|(_, load)| load.milli));
     let demand = milli.div_ceil(1_000);
     let mut seen = ramp::RampEvidence {
         demand,
@@ -185,8 +182,8 @@
     };
     for hall in receiving_halls(service, to, topology) {
         if let Some(&(completed, refused)) = evidence.get(&hall) {
-            seen.completed += completed;
-            seen.refused += refused;
+            seen.completed = seen.completed.saturating_add(completed);
+            seen.refused = seen.refused.saturating_add(refused);
         }
     }
     seen
@@ -276,15 +273,14 @@
 }
 
 /// Units that hosts hold which do not take part: silent, leaving or of an earlier run.
-fn silent_units(budget: &budget::PlaceBudget, hosts: &[&report::HostReport]) -> u32 {
+fn silent_units(place: &budget::PlaceBudget, hosts: &[&report::HostReport]) -> u32 {
     let takes_part =
         |identity: &member::HostIdentity| hosts.iter().any(|host| host.identity == *identity);
-    budget
+    let others = place
         .entries
         .iter()
-        .filter(|entry| !takes_part(&entry.host))
-        .map(|entry| entry.held)
-        .sum()
+        .filter(|entry| !takes_part(&entry.host));
+    budget::total(others.map(|entry| entry.held))
 }
 
 /// A leaving host that still reports gives its units back.
@@ -304,7 +300,7 @@
     hosts: &[&report::HostReport],
     targets: &[u32],
 ) -> bool {
-    let granted: u32 = budget.entries.iter().map(|entry| entry.grant).sum();
+    let granted = budget.granted_units();
     if granted > budget.limit || budget.free_units() > 0 {
         return true;
     }
--- a/src/planner/mod.rs
+++ b/src/planner/mod.rs
@@ -193,8 +193,8 @@
 
     fn note_usage(&mut self, host: &str, usage: &report::PlaceUsage, now: timer::Moment) {
         let counts = self.evidence.entry(usage.key.clone()).or_default();
-        counts.0 += u64::from(usage.completed);
-        counts.1 += u64::from(usage.refused);
+        counts.0 = counts.0.saturating_add(u64::from(usage.completed));
+        counts.1 = counts.1.saturating_add(u64::from(usage.refused));
         let entry = self.loads.entry((host.to_owned(), usage.key.clone()));
         let load = entry.or_insert(LoadEntry {
             milli: usage.load_milli,
@@ -324,7 +324,9 @@
             return None;
         }
         let draft = plan::SteeringPlan {
-            sequence: before.as_ref().map_or(1, |plan| plan.sequence + 1),
+            sequence: before
+                .as_ref()
+                .map_or(1, |plan| plan.sequence.saturating_add(1)),
             holder: self.me.clone(),
             generation: view.topology.generation,
             hosts: before
--- a/src/steering/request.rs
+++ b/src/steering/request.rs
@@ -22,7 +22,7 @@
     pub time_left_ms: Option<u64>,
 }
 
-/// An admitted request. It must be given back by [`SteeringRole::finish`].
+/// An admitted request. It must be given back by [`super::SteeringRole::finish`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestAdmission {
     /// The service.
