--- a/src/allocation.rs
+++ b/src/allocation.rs
@@ -2,8 +2,8 @@
 //!
 //! Each host gets its load and a reserve that grows with the square root of it, which keeps the
 //! chance of waiting about equal for large and small hosts (the square-root staffing rule of
-//! Halfin and Whitt, 1981). An even split of what is scarce did worse: see
-//! `docs/design/budgets.md`.
+//! Halfin and Whitt, 1981). What was measured of it
+//! stands in `docs/design/budgets.md`.
 
 /// One host that could use units of a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
