--- a/src/entry/decision_log.rs
+++ b/src/entry/decision_log.rs
@@ -59,7 +59,7 @@
 pub struct DecisionLog {
     host: String,
     state: cell::RefCell<LogState>,
-    batches: Option<mpsc::SyncSender<Vec<u8>>>,
+    batches: cell::RefCell<Option<mpsc::SyncSender<Vec<u8>>>>,
 }
 
 /// Counts of lines that were not written.
@@ -95,13 +95,13 @@
         Self {
             host: host.to_owned(),
             state: cell::RefCell::default(),
-            batches,
+            batches: cell::RefCell::new(batches),
         }
     }
 
     /// Writes one line.
     pub fn write(&self, event: EventCode, weight: LineWeight, fields: impl Serialize) {
-        if self.batches.is_none() {
+        if self.batches.borrow().is_none() {
             return;
         }
         let unix_ms = timer::unix_millis();
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Writes what has gathered and lets the writer end; later lines go nowhere.
+    pub fn close(&self) {
+        self.flush();
+        *self.batches.borrow_mut() = None;
+    }
+
     /// Counts of lines that were not written.
     #[must_use]
     pub fn loss(&self) -> LogLoss {
@@ -146,7 +152,8 @@
     fn hand_over(&self, state: &mut LogState) {
         let batch = std::mem::take(&mut state.batch);
         let lines = batch.iter().filter(|byte| **byte == b'\n').count() as u64;
-        let sent = self.batches.as_ref().map(|batches| batches.try_send(batch));
+        let batches = self.batches.borrow();
+        let sent = batches.as_ref().map(|batches| batches.try_send(batch));
         if sent.is_some_and(|sent| sent.is_err()) {
             state.dropped += lines;
         }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -27,8 +27,11 @@
 const TICK: time::Duration = time::Duration::from_millis(100);
 /// How often the settings file is looked at, in ticks; it may change without a signal.
 const SETTINGS_TICKS: u64 = 20;
-/// Time kept free at the end of the stop grace, for the last answers and the exit itself.
-const STOP_MARGIN: time::Duration = time::Duration::from_millis(700);
+/// Time kept free at the end of the stop grace, for the exit itself.
+const STOP_MARGIN: time::Duration = time::Duration::from_millis(250);
+/// A stopping host takes any request in this first part of its grace; later only those that are
+/// sure to end before it does.
+const OPEN_SHARE_OF_GRACE: u32 = 2;
 /// A host that was told to stop and has had no request for this long ends early. Longer than the
 /// time for which callers keep a look-up's answer.
 const QUIET_BEFORE_STOP_MS: u64 = 2_500;
@@ -305,6 +308,22 @@
         self.leaving.get().is_some()
     }
 
+    /// Whether a request that may take until `deadline` would outlast this host.
+    #[must_use]
+    pub fn ends_before(&self, deadline: Moment) -> bool {
+        let Some(since) = self.leaving.get() else {
+            return false;
+        };
+        let open_ms = self.settings.borrow().bounds.stop_grace / OPEN_SHARE_OF_GRACE;
+        let open_until = since.plus(open_ms.as_millis() as u64);
+        self.now() >= open_until && deadline >= self.stop_limit(since)
+    }
+
+    fn stop_limit(&self, leaving_since: Moment) -> Moment {
+        let grace = self.settings.borrow().bounds.stop_grace;
+        leaving_since.plus(grace.saturating_sub(STOP_MARGIN).as_millis() as u64)
+    }
+
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -423,10 +442,9 @@
     follow::spawn(&host, &store);
     look_after(&host, &store, file, signals).await;
     host.note(EventCode::ProcessStopped, json!({ "open_requests": host.open_requests.get() }));
-    host.log.flush();
-    drop(host);
-    // Tasks still hold the log, so the writer is not waited for beyond its last batch.
-    drop(writer);
+    host.log.close();
+    // A writer that panicked has ended too.
+    let _outcome = writer.join();
     Ok(())
 }
 
@@ -501,10 +519,8 @@
         return false;
     };
     let now = host.now();
-    let grace = host.settings().bounds.stop_grace;
-    let limit = grace.saturating_sub(STOP_MARGIN).as_millis() as u64;
     let quiet = now.since(host.last_request.get().max(since)) > QUIET_BEFORE_STOP_MS;
-    now.since(since) >= limit || (quiet && host.open_requests.get() == 0)
+    now >= host.stop_limit(since) || (quiet && host.open_requests.get() == 0)
 }
 
 fn reload_settings<W: WireProtocol>(host: &EntryHost<W>, file: &path::Path) {
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -22,6 +22,8 @@
     RefusedNoServer,
     /// Refused unrun: there is no configuration yet.
     RefusedUnconfigured,
+    /// Refused unrun: this host is about to stop.
+    RefusedLeaving,
     /// No route, or a request that breaks a limit.
     Rejected,
     /// Sent, and no answer that can be trusted came.
@@ -41,6 +43,7 @@
             Self::RefusedFull => "refused_full",
             Self::RefusedNoServer => "refused_no_server",
             Self::RefusedUnconfigured => "refused_unconfigured",
+            Self::RefusedLeaving => "refused_leaving",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -26,6 +26,8 @@
 /// A host without a configuration asks callers to come back after this time: about what it takes
 /// to read one from the store or another host.
 const NO_CONFIGURATION_MS: u64 = 300;
+/// A caller that a stopping host turns away finds another at once.
+const LEAVING_COME_BACK_MS: u64 = 10;
 /// A request that was not sent for want of a connection may be offered to this many servers.
 const MAX_OFFERS: u32 = 4;
 /// With less time left than this a request is not offered: no answer would come back in time.
@@ -154,10 +156,18 @@
         .object_key
         .filter(|_| route.sticky)
         .map(|key| xxh3::xxh3_64_with_seed(key.as_bytes(), xxh3::xxh3_64(route.prefix.as_bytes())));
+    let deadline = arrived.plus(time_left.as_millis() as u64);
+    if host.ends_before(deadline) {
+        return Err(RequestFailure::refused(
+            RequestEnd::RefusedLeaving,
+            LEAVING_COME_BACK_MS,
+            "this host stops before the request's time is over",
+        ));
+    }
     Ok(OpenRequest {
         object,
         arrived,
-        deadline: arrived.plus(time_left.as_millis() as u64),
+        deadline,
         time_told: caller.time_left,
         service,
         forward: ForwardRequest {
