--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -25,6 +25,8 @@
 /// The first time out of service; each further one in a row doubles it.
 const EJECT_MS: u64 = 1_000;
 const MAX_EJECT_DOUBLINGS: u32 = 3;
+/// Objects that this host remembers to have sent to a server; servers remember about as many.
+const MAX_OBJECTS: usize = 64;
 /// Added to a told cold time: the word takes about this long from the server to this host.
 const COLD_MARGIN_MS: u64 = 500;
 
@@ -42,6 +44,8 @@
     ejected_until: Option<Moment>,
     ejections: u32,
     cold_sends: collections::VecDeque<Moment>,
+    /// Hashes of the objects that this host lately sent there, the oldest first.
+    objects: collections::VecDeque<u64>,
 }
 
 /// A load that a server told, and how much of it was this host's.
@@ -123,11 +127,31 @@
         view.told = Some(ToldLoad { load, own, at: now });
     }
 
+    /// Whether this host lately sent requests about `object` there, so that the server probably
+    /// works faster on it. Notes that one more was sent.
+    pub fn remember_object(&self, object: u64) -> bool {
+        let mut view = self.view.borrow_mut();
+        let known = view.objects.iter().rposition(|known| *known == object);
+        if let Some(place) = known {
+            view.objects.remove(place);
+        }
+        view.objects.push_back(object);
+        if view.objects.len() > MAX_OBJECTS {
+            view.objects.pop_front();
+        }
+        known.is_some()
+    }
+
     /// It answered in `share` of the time that such a request usually takes.
-    pub fn on_success(&self, share: f64) {
+    pub fn on_pace(&self, share: f64) {
         let mut view = self.view.borrow_mut();
-        let before = view.pace.unwrap_or(share);
+        let before = view.pace.unwrap_or(1.0);
         view.pace = Some(before + AVERAGE_WEIGHT * (share - before));
+    }
+
+    /// It answered.
+    pub fn on_success(&self) {
+        let mut view = self.view.borrow_mut();
         view.failures = 0;
         view.ejections = 0;
         view.ejected_until = None;
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -47,6 +47,17 @@
     revision: u64,
 }
 
+/// How long one answer took.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerSample<'a> {
+    /// The request's route.
+    pub route: &'a str,
+    /// From the offer to the answer, in milliseconds.
+    pub millis: u64,
+    /// Whether the server probably knew the object, or the route has none.
+    pub known_object: bool,
+}
+
 /// The state of one entry host.
 #[derive(Debug)]
 pub struct EntryHost<W> {
@@ -282,12 +293,21 @@
         usual.get(route).copied().unwrap_or(first).max(1.0)
     }
 
-    /// A server answered a request of a route.
-    pub fn on_answer_time(&self, server: &FleetServer, route: &str, goal_ms: u64, millis: u64) {
-        let usual = self.usual_ms(route, goal_ms);
-        server.on_success(millis as f64 / usual);
-        let next = usual + USUAL_WEIGHT * (millis as f64 - usual);
-        self.usual_ms.borrow_mut().insert(route.to_owned(), next);
+    /// A server answered a request of a route. Only answers about objects that the server knows
+    /// tell its pace: a first run is several times longer on the fastest server too.
+    pub fn on_answer_time(&self, server: &FleetServer, sample: &AnswerSample<'_>) {
+        server.on_success();
+        if !sample.known_object {
+            return;
+        }
+        let millis = sample.millis as f64;
+        let mut all = self.usual_ms.borrow_mut();
+        let Some(usual) = all.get_mut(sample.route) else {
+            all.insert(sample.route.to_owned(), millis.max(1.0));
+            return;
+        };
+        server.on_pace(millis / usual.max(1.0));
+        *usual += USUAL_WEIGHT * (millis - *usual);
     }
 
     /// A caller's request begins.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -14,7 +14,7 @@
 use super::decision_log::LineWeight;
 use super::exchange::{self, ForwardRequest, OfferEnd, ServerAnswer};
 use super::fleet::FleetServer;
-use super::host::EntryHost;
+use super::host::{AnswerSample, EntryHost};
 use super::metrics_page::RequestEnd;
 use super::pool::ServerSender;
 use super::wire::WireProtocol;
@@ -275,6 +275,9 @@
             host.on_first_offer(&open.service);
         }
         tried.push(server.id.clone());
+        let known_object = open
+            .object
+            .is_none_or(|object| server.remember_object(object));
         let began = host.now();
         let offered = exchange::offer(host, &server, &open.forward, left);
         let Ok(end) = tokio::time::timeout(left, offered).await else {
@@ -287,8 +290,12 @@
         };
         match end {
             OfferEnd::Answered(answer) => {
-                let millis = host.now().since(began);
-                host.on_answer_time(&server, &open.route.name, open.route.goal_ms, millis);
+                let sample = AnswerSample {
+                    route: &open.route.name,
+                    millis: host.now().since(began),
+                    known_object,
+                };
+                host.on_answer_time(&server, &sample);
                 return Ok((server, answer));
             }
             OfferEnd::NotSent => {
