--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3;
 
 use super::settings::HallMap;
-use super::server::{ServerLoad, ServerRecord, ServerState};
+use super::server::{ServerLoad, ServerObject, ServerRecord, ServerState};
 use super::store::{ObjectChange, ObjectContent, StoredObject};
 use crate::timer::Moment;
 
@@ -264,6 +264,7 @@
     revisions: collections::HashMap<String, u64>,
     by_service: collections::HashMap<String, Vec<rc::Rc<FleetServer>>>,
     revision: u64,
+    changed: u64,
     lapsing_until: Moment,
     listed: bool,
 }
@@ -286,9 +287,12 @@
         self.servers.values()
     }
 
-    /// The records of every server, for other hosts.
-    pub fn records(&self) -> impl Iterator<Item = &ServerRecord> {
-        self.records.values()
+    /// Every server as the store holds it, for other hosts.
+    pub fn objects(&self) -> impl Iterator<Item = ServerObject> {
+        self.records.values().map(|record| ServerObject {
+            record: record.clone(),
+            revision: self.revisions.get(&record.id).copied().unwrap_or(0),
+        })
     }
 
     /// Whether the whole list was read at least once.
@@ -303,6 +307,24 @@
         self.revision
     }
 
+    /// The store's count at the last change that the fleet has taken in; between it and
+    /// [`Self::revision`] no server changed.
+    #[must_use]
+    pub const fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// How much longer entries that go missing are kept, in milliseconds.
+    #[must_use]
+    pub const fn lapse_hold_ms(&self, now: Moment) -> u64 {
+        self.lapsing_until.since(now)
+    }
+
+    /// Keeps entries that go missing for this long, as another host does.
+    pub fn hold_lapses(&mut self, hold_ms: u64, now: Moment) {
+        self.lapsing_until = self.lapsing_until.max(now.plus(hold_ms));
+    }
+
     /// The store was away and answers again: entries that go missing now have perhaps only lapsed.
     pub fn on_store_return(&mut self, now: Moment) {
         self.lapsing_until = now.plus(LAPSE_GRACE_MS);
@@ -335,16 +357,18 @@
             changes.extend(self.put(object, halls, now));
         }
         self.revision = revision;
+        self.changed = revision;
         self.listed = true;
         self.index();
         changes
     }
 
-    /// Takes over changes in their order.
+    /// Takes over changes in their order. `revision` is the store's count behind the last of
+    /// them, if nothing in between can be missing.
     pub fn on_changes(
         &mut self,
         batch: &[ObjectChange],
-        revision: u64,
+        revision: Option<u64>,
         halls: &HallMap,
         now: Moment,
     ) -> Vec<FleetChange> {
@@ -360,11 +384,19 @@
                 changes.extend(self.put(&change.object, halls, now));
             }
         }
-        self.revision = self.revision.max(revision);
+        if let Some(revision) = revision.filter(|revision| *revision > self.revision) {
+            self.revision = revision;
+            self.changed = revision;
+        }
         self.index();
         changes
     }
 
+    /// The store's count has moved on and no server has changed.
+    pub fn on_quiet(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Takes lapsed servers out whose time is over.
     pub fn on_tick(&mut self, now: Moment) -> Vec<FleetChange> {
         let over: Vec<String> = self
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,13 +1,18 @@
 //! Keeps what the store holds in view: list a kind, then watch it from there, and again from the
 //! list when the history is gone. Errors are met with growing pauses, so that hosts that all lost
 //! the store do not come back at the same instant.
+//!
+//! Only a few hosts of each region do this at a time, since every call is paid for; they pass on
+//! what they see ([`gossip`]). When one of them loses the store, the next in order takes over.
 
 use std::{rc, time};
 
 use rand::Rng as _;
 use serde_json::json;
 
+use super::gossip;
 use super::host::EntryHost;
+use super::peer_message::{HostNews, WatchState};
 use super::store::{
     ChangeBatch, ObjectContent, ObjectKind, ObjectStore, StoreFault, StoreResult, StoredObject,
 };
@@ -27,6 +32,15 @@
 /// The pause after a first failure; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
 const MAX_PAUSE_MS: u64 = 800;
+/// After a change the next watch begins this much later, in which others join it: servers and
+/// hosts that start together change one after the other.
+const GROUP_PAUSE: time::Duration = time::Duration::from_millis(150);
+/// A started host listens for this long before it asks the store: one heartbeat and a little.
+const SETTLE: time::Duration = time::Duration::from_millis(300);
+/// A started host that is no seed leaves the store to the seeds for this long, and asks them.
+const FIRST_MEETING_MS: u64 = 1_500;
+/// How often a host that leaves the store to others looks whether that still holds.
+const ROLE_PAUSE: time::Duration = time::Duration::from_millis(200);
 /// Pages that one list has at most.
 const MAX_PAGES: usize = 100;
 /// Hosts that have been silent are looked for this often.
@@ -59,20 +73,53 @@
 
 impl<W: WireProtocol, S: ObjectStore> KindFollower<W, S> {
     async fn run(mut self) {
+        // Hosts that come before this one in the order need a moment to be heard.
+        tokio::time::sleep(SETTLE).await;
         let mut position = None;
         loop {
-            let result = match position {
+            if !self.is_due() {
+                self.away = false;
+                position = None;
+                tokio::time::sleep(ROLE_PAUSE).await;
+                continue;
+            }
+            let result = match position.or_else(|| self.known_position()) {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
             };
             match result {
                 Ok(revision) => position = Some(revision),
-                Err(StoreFault::HistoryGone) => position = None,
+                Err(StoreFault::HistoryGone) => {
+                    // What was known before is out of date as well.
+                    position = self.list().await.ok();
+                }
                 Err(_) => self.pause().await,
             }
         }
     }
 
+    /// Whether this host watches the store for its region.
+    fn is_due(&self) -> bool {
+        let due = self.host.is_watcher(FIRST_MEETING_MS);
+        let state = self.host.watch.get();
+        if due != (state != WatchState::Idle) {
+            let next = if due { WatchState::Watching } else { WatchState::Idle };
+            self.host.watch.set(next);
+            self.host
+                .note(EventCode::WatchRoleChanged, json!({ "watching": due }));
+        }
+        due
+    }
+
+    /// Where a watch can go on after what other hosts have told.
+    fn known_position(&self) -> Option<u64> {
+        let fleet = self.host.fleet.borrow();
+        match self.kind {
+            ObjectKind::Servers if fleet.is_listed() => Some(fleet.revision()),
+            _ => None,
+        }
+    }
+
     async fn list(&mut self) -> StoreResult<u64> {
         let mut objects = Vec::new();
         let mut after: Option<String> = None;
@@ -109,7 +156,13 @@
             .unwrap_or(Err(StoreFault::Unreachable));
         self.note("watch", &batch);
         let batch = batch?;
-        self.apply_changes(&batch);
+        if !batch.changes.is_empty() {
+            self.apply_changes(&batch);
+            // Changes come in groups; taking a group at once saves calls.
+            tokio::time::sleep(GROUP_PAUSE).await;
+        } else if self.kind == ObjectKind::Servers {
+            self.host.fleet.borrow_mut().on_quiet(batch.revision);
+        }
         Ok(batch.revision.max(revision))
     }
 
@@ -131,6 +184,7 @@
             Err(StoreFault::Unreachable | StoreFault::Refused(_) | StoreFault::Malformed(_))
         );
         if lost && !self.away {
+            self.host.watch.set(WatchState::Blind);
             self.host.note(
                 EventCode::PlatformLost,
                 json!({ "kind": self.kind.as_str(), "call": call, "result": word }),
@@ -138,6 +192,7 @@
         }
         if !lost && self.away {
             self.failures = 0;
+            self.host.watch.set(WatchState::Watching);
             self.host
                 .note(EventCode::PlatformFound, json!({ "kind": self.kind.as_str() }));
             if self.kind == ObjectKind::Servers {
@@ -180,50 +235,65 @@
                 self.host.on_evacuation_list(halls, revision);
             }
             ObjectKind::Hosts => {
-                for object in objects {
-                    self.apply_host(object);
-                }
+                let records = objects.iter().filter_map(|object| match &object.content {
+                    ObjectContent::Host(record) => Some(record.clone()),
+                    _ => None,
+                });
+                let records: Vec<_> = records.collect();
+                gossip::learn_hosts(&self.host, &records);
             }
         }
     }
 
     fn apply_changes(&self, batch: &ChangeBatch) {
-        if batch.changes.is_empty() {
-            return;
-        }
-        let now = self.host.now();
         match self.kind {
             ObjectKind::Configuration => {
                 for change in batch.changes.iter().filter(|change| !change.deleted) {
                     self.apply_configuration(&change.object);
                 }
+                gossip::announce(&self.host);
             }
-            ObjectKind::Servers => {
-                let settings = self.host.settings();
-                let mut fleet = self.host.fleet.borrow_mut();
-                let changes =
-                    fleet.on_changes(&batch.changes, batch.revision, &settings.halls, now);
-                drop(fleet);
-                self.host.note_fleet(&changes, "store");
-            }
+            ObjectKind::Servers => self.apply_servers(batch),
             ObjectKind::Evacuations => {
                 for change in &batch.changes {
                     let hall = &change.object.name;
                     self.host
                         .on_evacuation_change(hall, change.deleted, batch.revision);
                 }
+                gossip::announce(&self.host);
             }
-            ObjectKind::Hosts => {
-                for change in &batch.changes {
-                    if change.deleted {
-                        let mut peers = self.host.peers.borrow_mut();
-                        peers.on_removed(&change.object.name);
-                    } else {
-                        self.apply_host(&change.object);
-                    }
-                }
+            ObjectKind::Hosts => self.apply_hosts(batch),
+        }
+    }
+
+    fn apply_servers(&self, batch: &ChangeBatch) {
+        let settings = self.host.settings();
+        let now = self.host.now();
+        let mut fleet = self.host.fleet.borrow_mut();
+        let since = fleet.changed();
+        let changes =
+            fleet.on_changes(&batch.changes, Some(batch.revision), &settings.halls, now);
+        drop(fleet);
+        self.host.note_fleet(&changes, "store");
+        gossip::pass_on_fleet(&self.host, since, batch.revision, &batch.changes);
+    }
+
+    fn apply_hosts(&self, batch: &ChangeBatch) {
+        let mut news = HostNews {
+            joined: Vec::new(),
+            gone: Vec::new(),
+        };
+        for change in &batch.changes {
+            if change.deleted {
+                let mut peers = self.host.peers.borrow_mut();
+                peers.on_removed(&change.object.name);
+                news.gone.push(change.object.name.clone());
+            } else if let ObjectContent::Host(record) = &change.object.content {
+                news.joined.push(record.clone());
             }
         }
+        gossip::learn_hosts(&self.host, &news.joined);
+        gossip::pass_on_hosts(&self.host, news);
     }
 
     fn apply_configuration(&self, object: &StoredObject) {
@@ -238,16 +308,6 @@
             _ => {}
         }
     }
-
-    fn apply_host(&self, object: &StoredObject) {
-        let ObjectContent::Host(record) = &object.content else {
-            return;
-        };
-        if record.name != self.host.settings().name {
-            let now = self.host.now();
-            self.host.peers.borrow_mut().on_record(record, now);
-        }
-    }
 }
 
 /// Writes this host's own entry, by which the others meet it.
@@ -274,11 +334,11 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let now = host.now();
-        let own = host.settings().name.clone();
+        let own = host.record();
         if host.is_leaving() || !host.peers.borrow().is_first_alive(&own, now) {
             continue;
         }
-        let silent = host.peers.borrow().removable(now);
+        let silent = host.peers.borrow().removable(&own.region, now);
         for name in silent {
             let call = tokio::time::timeout(CALL_LIMIT, store.delete_host(&name, None));
             if matches!(call.await, Ok(Ok(()) | Err(StoreFault::Absent))) {
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -1,41 +1,48 @@
-//! What entry hosts say to each other: heartbeats over UDP, whole snapshots over HTTP.
+//! The datagrams between entry hosts: heartbeats, and the news of those that watch the store.
 //!
-//! A heartbeat tells how current its host is. A host that has fallen behind and stays so fetches a
-//! snapshot, so a change reaches a host that the store does not answer.
+//! Only a few hosts of each region watch the store; they pass on what they see. Each heartbeat
+//! tells how current its host is, so that one that missed a datagram finds out and catches up.
 
-use std::{cell, net, rc, time};
+use std::{cell, collections, net, rc, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use serde_json::json;
 use tokio::net::UdpSocket;
 
+use super::catch_up;
 use super::host::EntryHost;
-use super::peers::{PeerChange, PeerHeartbeat, PeerSnapshot};
-use super::store::{ObjectContent, StoredObject};
+use super::peer_message::{FleetNews, HostNews, PeerHeartbeat, PeerMessage};
+use super::peers::{HostRecord, PeerChange};
+use super::server::ServerObject;
+use super::store::{ObjectChange, ObjectContent, StoredObject};
 use super::wire::WireProtocol;
 use crate::error::{self, Error};
 use crate::event::EventCode;
-use crate::http_client;
 use crate::result_code::ResultCode;
 
 /// The time between two heartbeats: four of them fit into the time after which a silent host is
 /// not named to callers any more.
 const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
-/// The largest heartbeat; a longer datagram is cut and then refused as malformed.
-const MAX_HEARTBEAT_BYTES: usize = 1_400;
-/// A host that hears of something newer gives its own watch this long before it asks a peer.
-const WATCH_TIME: time::Duration = time::Duration::from_millis(250);
-/// A snapshot must arrive within this time: four ways between the farthest regions and the
-/// largest snapshot over a slow link.
-const SNAPSHOT_LIMIT: time::Duration = time::Duration::from_millis(1_000);
-/// The largest snapshot that is read: some hundred servers and some thousand routes.
-const MAX_SNAPSHOT_BYTES: usize = 4 << 20;
-/// The time between two tries to get a first snapshot.
-const FIRST_SNAPSHOT_PAUSE: time::Duration = time::Duration::from_millis(400);
-
-thread_local! {
-    static SOCKET: cell::RefCell<Option<rc::Rc<UdpSocket>>> = const { cell::RefCell::new(None) };
+/// Every so many heartbeats carry the host's whole record.
+const RECORD_EVERY: u64 = 4;
+/// The largest datagram that fits into one packet of the usual networks, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Bytes of a part of news that are left for its frame.
+const FRAME_BYTES: usize = 300;
+/// Half-received news that are remembered.
+const MAX_PARTIAL: usize = 64;
+
+/// The socket for datagrams, and news of which some parts are still missing.
+#[derive(Debug, Default)]
+pub struct PeerSocket {
+    socket: cell::OnceCell<rc::Rc<UdpSocket>>,
+    partial: cell::RefCell<collections::VecDeque<PartialNews>>,
+}
+
+#[derive(Debug)]
+struct PartialNews {
+    host: String,
+    until: u64,
+    received: u32,
 }
 
 /// Starts the tasks that speak to other hosts.
@@ -48,10 +55,10 @@
         Error::with_code(ResultCode::AddressInvalid, format!("{address}: {fault}"))
     })?;
     let socket = rc::Rc::new(socket);
-    SOCKET.with(|kept| *kept.borrow_mut() = Some(rc::Rc::clone(&socket)));
+    let _first = host.socket.socket.set(rc::Rc::clone(&socket));
     tokio::task::spawn_local(receive(rc::Rc::clone(host), socket));
     tokio::task::spawn_local(beat(rc::Rc::clone(host)));
-    tokio::task::spawn_local(fetch_first(rc::Rc::clone(host)));
+    tokio::task::spawn_local(catch_up::fetch_first(rc::Rc::clone(host)));
     Ok(())
 }
 
@@ -63,36 +70,149 @@
 
 /// Tells every other host the present state at once.
 pub fn announce<W: WireProtocol>(host: &EntryHost<W>) {
-    let socket = SOCKET.with(|socket| socket.borrow().clone());
-    let Some(socket) = socket else { return };
-    let Ok(bytes) = serde_json::to_vec(&host.heartbeat()) else {
+    let targets: Vec<_> = host.peers.borrow().all_targets().collect();
+    let message = PeerMessage::Heartbeat(host.heartbeat(true));
+    send(host, &message, &targets);
+}
+
+/// Passes on changes of servers that were seen in the store.
+pub fn pass_on_fleet<W: WireProtocol>(
+    host: &EntryHost<W>,
+    since: u64,
+    until: u64,
+    changes: &[ObjectChange],
+) {
+    let mut parts = vec![NewsPart::default()];
+    for change in changes {
+        let Some(item) = NewsItem::from_change(change) else {
+            continue;
+        };
+        if parts.last().is_some_and(|part| !part.has_room(&item)) {
+            parts.push(NewsPart::default());
+        }
+        if let Some(part) = parts.last_mut() {
+            part.push(item);
+        }
+    }
+    let hold_ms = host.fleet.borrow().lapse_hold_ms(host.now());
+    let targets: Vec<_> = host.peers.borrow().all_targets().collect();
+    let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    for part in parts {
+        let news = FleetNews {
+            host: host.settings().name.clone(),
+            since,
+            until,
+            parts: count,
+            hold_ms,
+            changed: part.changed,
+            gone: part.gone,
+        };
+        send(host, &PeerMessage::Fleet(news), &targets);
+    }
+}
+
+/// Passes on which entry hosts came or went, as seen in the store.
+pub fn pass_on_hosts<W: WireProtocol>(host: &EntryHost<W>, news: HostNews) {
+    let targets: Vec<_> = host.peers.borrow().all_targets().collect();
+    send(host, &PeerMessage::Hosts(news), &targets);
+}
+
+enum NewsItem {
+    Changed(Box<ServerObject>, usize),
+    Gone(String),
+}
+
+impl NewsItem {
+    fn from_change(change: &ObjectChange) -> Option<Self> {
+        if change.deleted {
+            return Some(Self::Gone(change.object.name.clone()));
+        }
+        let ObjectContent::Server(record) = &change.object.content else {
+            return None;
+        };
+        let object = ServerObject {
+            record: record.clone(),
+            revision: change.object.revision,
+        };
+        let bytes = serde_json::to_vec(&object).map_or(0, |bytes| bytes.len());
+        Some(Self::Changed(Box::new(object), bytes))
+    }
+
+    const fn bytes(&self) -> usize {
+        match self {
+            Self::Changed(_, bytes) => *bytes + 1,
+            Self::Gone(id) => id.len() + 3,
+        }
+    }
+}
+
+#[derive(Default)]
+struct NewsPart {
+    changed: Vec<ServerObject>,
+    gone: Vec<String>,
+    bytes: usize,
+}
+
+impl NewsPart {
+    const fn has_room(&self, item: &NewsItem) -> bool {
+        self.bytes + item.bytes() + FRAME_BYTES <= MAX_DATAGRAM_BYTES
+    }
+
+    fn push(&mut self, item: NewsItem) {
+        self.bytes += item.bytes();
+        match item {
+            NewsItem::Changed(object, _) => self.changed.push(*object),
+            NewsItem::Gone(id) => self.gone.push(id),
+        }
+    }
+}
+
+fn send<W: WireProtocol>(host: &EntryHost<W>, message: &PeerMessage, targets: &[net::SocketAddr]) {
+    let Some(socket) = host.socket.socket.get() else {
         return;
     };
-    for target in host.peers.borrow().heartbeat_targets() {
-        // A lost datagram is made good by the next.
-        let _sent = socket.try_send_to(&bytes, target);
+    match serde_json::to_vec(message) {
+        Ok(bytes) => {
+            for target in targets {
+                // A lost datagram is made good by the next heartbeat.
+                let _sent = socket.try_send_to(&bytes, *target);
+            }
+        }
+        Err(fault) => host.note(
+            EventCode::HeartbeatMalformed,
+            json!({ "source": "self", "fault": fault.to_string() }),
+        ),
     }
 }
 
 async fn beat<W: WireProtocol>(host: rc::Rc<EntryHost<W>>) {
     let mut beats = tokio::time::interval(HEARTBEAT);
     beats.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut count = 0_u64;
     loop {
         beats.tick().await;
-        announce(&host);
+        let message = PeerMessage::Heartbeat(host.heartbeat(count.is_multiple_of(RECORD_EVERY)));
+        count += 1;
+        let region = host.settings().region.clone();
+        let targets = {
+            let mut random = host.random.borrow_mut();
+            host.peers.borrow().heartbeat_targets(&region, &mut random)
+        };
+        send(&host, &message, &targets);
     }
 }
 
 async fn receive<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, socket: rc::Rc<UdpSocket>) {
-    let mut buffer = vec![0_u8; MAX_HEARTBEAT_BYTES];
-    let fetching = rc::Rc::new(cell::Cell::new(false));
+    let mut buffer = vec![0_u8; 2 * MAX_DATAGRAM_BYTES];
     loop {
         let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
             tokio::time::sleep(HEARTBEAT).await;
             continue;
         };
-        match serde_json::from_slice::<PeerHeartbeat>(&buffer[..length]) {
-            Ok(heartbeat) => on_heartbeat(&host, &heartbeat, &fetching),
+        match serde_json::from_slice::<PeerMessage>(&buffer[..length]) {
+            Ok(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(&host, &heartbeat),
+            Ok(PeerMessage::Fleet(news)) => on_fleet_news(&host, &news),
+            Ok(PeerMessage::Hosts(news)) => on_host_news(&host, &news),
             Err(fault) => host.note(
                 EventCode::HeartbeatMalformed,
                 json!({ "source": source.to_string(), "fault": fault.to_string() }),
@@ -101,11 +221,7 @@
     }
 }
 
-fn on_heartbeat<W: WireProtocol>(
-    host: &rc::Rc<EntryHost<W>>,
-    heartbeat: &PeerHeartbeat,
-    fetching: &rc::Rc<cell::Cell<bool>>,
-) {
+fn on_heartbeat<W: WireProtocol>(host: &rc::Rc<EntryHost<W>>, heartbeat: &PeerHeartbeat) {
     let now = host.now();
     let change = host.peers.borrow_mut().on_heartbeat(heartbeat, now);
     let event = match change {
@@ -114,107 +230,86 @@
         PeerChange::None => None,
     };
     if let Some(event) = event {
-        host.note(event, json!({ "peer": heartbeat.host.name, "run": heartbeat.host.run }));
+        host.note(event, json!({ "peer": heartbeat.host, "run": heartbeat.run }));
     }
-    if is_behind(host, heartbeat) && !fetching.replace(true) {
-        let host = rc::Rc::clone(host);
-        let heartbeat = heartbeat.clone();
-        let fetching = rc::Rc::clone(fetching);
-        tokio::task::spawn_local(async move {
-            tokio::time::sleep(WATCH_TIME).await;
-            if is_behind(&host, &heartbeat) {
-                fetch(&host, heartbeat.host.peer_address).await;
-            }
-            fetching.set(false);
-        });
+    if heartbeat.evacuation_changed > host.evacuation_revision() {
+        let halls = heartbeat.evacuated.iter().cloned().collect();
+        host.on_evacuation_list(halls, heartbeat.evacuation_changed);
     }
+    catch_up::on_heartbeat(host, heartbeat);
 }
 
-/// Whether a peer knows something newer. Counts of servers and evacuations move with each change
-/// of any kind, so they only matter when the peer has seen a change of that kind; a snapshot that
-/// brings nothing new is harmless.
-fn is_behind<W: WireProtocol>(host: &EntryHost<W>, heartbeat: &PeerHeartbeat) -> bool {
-    heartbeat.configuration_version > host.configuration_version()
-        || heartbeat.fleet_revision > host.fleet.borrow().revision()
-        || heartbeat.evacuation_revision > host.evacuation_revision()
+fn on_fleet_news<W: WireProtocol>(host: &EntryHost<W>, news: &FleetNews) {
+    let now = host.now();
+    let changed = news.changed.iter().map(|object| ObjectChange {
+        object: StoredObject {
+            name: object.record.id.clone(),
+            revision: object.revision,
+            content: ObjectContent::Server(object.record.clone()),
+        },
+        deleted: false,
+    });
+    let gone = news.gone.iter().map(|id| ObjectChange {
+        object: StoredObject {
+            name: id.clone(),
+            revision: u64::MAX,
+            content: ObjectContent::Unreadable(String::new()),
+        },
+        deleted: true,
+    });
+    let changes: Vec<_> = changed.chain(gone).collect();
+    let whole = host.socket.is_whole(news);
+    let settings = host.settings();
+    let mut fleet = host.fleet.borrow_mut();
+    if news.hold_ms > 0 {
+        fleet.hold_lapses(news.hold_ms, now);
+    }
+    let contiguous = whole && fleet.is_listed() && news.since <= fleet.revision();
+    let revision = contiguous.then_some(news.until);
+    let noted = fleet.on_changes(&changes, revision, &settings.halls, now);
+    drop(fleet);
+    host.note_fleet(&noted, &news.host);
 }
 
-/// Until the first configuration and list of servers are there, seeds and peers are asked as well
-/// as the store.
-async fn fetch_first<W: WireProtocol>(host: rc::Rc<EntryHost<W>>) {
-    loop {
-        tokio::time::sleep(FIRST_SNAPSHOT_PAUSE).await;
-        if host.is_ready() || host.is_leaving() {
-            return;
+impl PeerSocket {
+    /// Whether the last missing part of some news has come.
+    fn is_whole(&self, news: &FleetNews) -> bool {
+        if news.parts <= 1 {
+            return true;
         }
-        let own = host.settings().peer_address;
-        let mut sources = host.peers.borrow().snapshot_sources();
-        sources.extend(host.settings().seeds.iter().copied());
-        sources.retain(|source| *source != own);
-        sources.dedup();
-        for source in sources.into_iter().take(3) {
-            fetch(&host, source).await;
+        let mut partial = self.partial.borrow_mut();
+        let known = partial
+            .iter_mut()
+            .find(|known| known.until == news.until && known.host == news.host);
+        if let Some(known) = known {
+            known.received += 1;
+            return known.received >= news.parts;
+        }
+        partial.push_back(PartialNews {
+            host: news.host.clone(),
+            until: news.until,
+            received: 1,
+        });
+        if partial.len() > MAX_PARTIAL {
+            partial.pop_front();
         }
+        false
     }
 }
 
-async fn fetch<W: WireProtocol>(host: &EntryHost<W>, source: net::SocketAddr) {
-    let request = http::Request::builder()
-        .uri("/snapshot")
-        .header(http::header::HOST, "peer")
-        .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return };
-    let answer = http_client::exchange(source, request, SNAPSHOT_LIMIT, MAX_SNAPSHOT_BYTES).await;
-    let Ok(answer) = answer else {
-        host.note(EventCode::PeerSilent, json!({ "peer": source.to_string() }));
-        return;
-    };
-    match serde_json::from_slice::<PeerSnapshot>(&answer.body) {
-        Ok(snapshot) => take_over(host, &snapshot, source),
-        Err(fault) => host.note(
-            EventCode::HeartbeatMalformed,
-            json!({ "source": source.to_string(), "fault": fault.to_string() }),
-        ),
+fn on_host_news<W: WireProtocol>(host: &EntryHost<W>, news: &HostNews) {
+    learn_hosts(host, &news.joined);
+    for name in &news.gone {
+        host.peers.borrow_mut().on_removed(name);
     }
 }
 
-fn take_over<W: WireProtocol>(
-    host: &EntryHost<W>,
-    snapshot: &PeerSnapshot,
-    source: net::SocketAddr,
-) {
+/// Meets hosts that others or the store name.
+pub fn learn_hosts<W: WireProtocol>(host: &EntryHost<W>, records: &[HostRecord]) {
     let now = host.now();
-    let source = source.to_string();
     let own = host.settings().name.clone();
-    for record in &snapshot.hosts {
-        if record.name != own {
-            host.peers.borrow_mut().on_record(record, now);
-        }
-    }
-    if let Some(configuration) = &snapshot.configuration {
-        host.install_configuration(configuration, &source);
-    }
-    if snapshot.fleet_revision > host.fleet.borrow().revision() {
-        let objects: Vec<StoredObject> = snapshot
-            .servers
-            .iter()
-            .map(|record| StoredObject {
-                name: record.id.clone(),
-                revision: snapshot.fleet_revision,
-                content: ObjectContent::Server(record.clone()),
-            })
-            .collect();
-        let settings = host.settings();
-        let changes = host.fleet.borrow_mut().on_list(
-            &objects,
-            snapshot.fleet_revision,
-            &settings.halls,
-            now,
-        );
-        host.note_fleet(&changes, &source);
-    }
-    if snapshot.evacuation_revision > host.evacuation_revision() {
-        let halls = snapshot.evacuated.iter().cloned().collect();
-        host.on_evacuation_list(halls, snapshot.evacuation_revision);
+    let mut peers = host.peers.borrow_mut();
+    for record in records.iter().filter(|record| record.name != own) {
+        peers.on_record(record, now);
     }
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -13,7 +13,9 @@
 use super::decision_log::{DecisionLog, LineWeight};
 use super::fleet::{Fleet, FleetChange, FleetServer};
 use super::metrics_page::{CurrentFigures, EntryMetrics};
-use super::peers::{HostRecord, PeerHeartbeat, PeerSnapshot, PeerTable};
+use super::gossip::PeerSocket;
+use super::peer_message::{PeerHeartbeat, PeerSnapshot, WatchState};
+use super::peers::{HostRecord, PeerTable};
 use super::pool::ServerPool;
 use super::settings::{self, EntrySettings};
 use super::store::ObjectStore;
@@ -44,7 +46,10 @@
 #[derive(Debug, Default)]
 pub struct EvacuationList {
     halls: collections::BTreeSet<String>,
+    /// The store's count up to which the list is current.
     revision: u64,
+    /// The store's count at its last change.
+    changed: u64,
 }
 
 /// How long one answer took.
@@ -73,6 +78,12 @@
     pub pool: cell::RefCell<ServerPool>,
     /// Other hosts.
     pub peers: cell::RefCell<PeerTable>,
+    /// The way to them.
+    pub socket: PeerSocket,
+    /// Whether something is being fetched from another host.
+    pub fetching: cell::Cell<bool>,
+    /// How this host stands to the store.
+    pub watch: cell::Cell<WatchState>,
     /// Source of random choices.
     pub random: cell::RefCell<SmallRng>,
     settings: cell::RefCell<rc::Rc<EntrySettings>>,
@@ -100,6 +111,9 @@
             fleet: cell::RefCell::default(),
             pool: cell::RefCell::default(),
             peers: cell::RefCell::default(),
+            socket: PeerSocket::default(),
+            fetching: cell::Cell::new(false),
+            watch: cell::Cell::new(WatchState::Idle),
             random: cell::RefCell::new(SmallRng::seed_from_u64(seed)),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
             clock: MonotonicClock::start(),
@@ -205,7 +219,12 @@
         for hall in halls.difference(&before) {
             self.note(EventCode::HallEvacuated, json!({ "hall": hall, "revision": revision }));
         }
-        *self.evacuations.borrow_mut() = EvacuationList { halls, revision };
+        let mut evacuations = self.evacuations.borrow_mut();
+        if before != halls {
+            evacuations.changed = revision;
+        }
+        evacuations.halls = halls;
+        evacuations.revision = revision;
     }
 
     /// Takes over one change.
@@ -364,19 +383,26 @@
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             heartbeat_address,
+            // The share of a core is checked to be small.
+            processor_milli: (settings.processor_share * 1_000.0) as u32,
         }
     }
 
-    /// What the other hosts are told.
+    /// What the other hosts are told; `whole` adds the host's record.
     #[must_use]
-    pub fn heartbeat(&self) -> PeerHeartbeat {
+    pub fn heartbeat(&self, whole: bool) -> PeerHeartbeat {
+        let evacuations = self.evacuations.borrow();
         PeerHeartbeat {
-            host: self.record(),
+            host: self.settings.borrow().name.clone(),
+            run: self.run,
+            record: whole.then(|| self.record()),
             ready: self.is_ready(),
             leaving: self.is_leaving(),
+            watch: self.watch.get(),
             configuration_version: self.configuration_version(),
-            fleet_revision: self.fleet.borrow().revision(),
-            evacuation_revision: self.evacuation_revision(),
+            fleet_changed: self.fleet.borrow().changed(),
+            evacuation_changed: evacuations.changed,
+            evacuated: evacuations.halls.iter().cloned().collect(),
         }
     }
 
@@ -392,7 +418,7 @@
             configuration: routes
                 .as_ref()
                 .map(|routes| routes.configuration().clone()),
-            servers: fleet.records().cloned().collect(),
+            servers: fleet.objects().collect(),
             fleet_revision: if fleet.is_listed() { fleet.revision() } else { 0 },
             evacuated: evacuations.halls.iter().cloned().collect(),
             evacuation_revision: evacuations.revision,
@@ -400,6 +426,19 @@
         }
     }
 
+    /// Whether this host is one of those that watch the store for its region. Until it has met
+    /// others, or for `first_ms` from its start, only a seed is.
+    #[must_use]
+    pub fn is_watcher(&self, first_ms: u64) -> bool {
+        let peers = self.peers.borrow();
+        let now = self.now();
+        if peers.is_empty() && now.0 < first_ms {
+            let settings = self.settings.borrow();
+            return settings.seeds.contains(&settings.peer_address);
+        }
+        peers.is_watcher(&self.record(), now)
+    }
+
     /// The metrics page.
     #[must_use]
     pub fn metrics_page(&self) -> String {
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
+use super::catch_up;
 use super::host::{self, EntryHost};
 use super::request;
 use super::settings::EntrySettings;
@@ -148,10 +149,10 @@
 
 async fn serve_peer<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
     serve_small(host, stream, |host, request| match request.uri().path() {
-        "/snapshot" => match serde_json::to_vec(&host.snapshot()) {
-            Ok(bytes) => json_response(Bytes::from(bytes)),
-            Err(_fault) => plain(http::StatusCode::INTERNAL_SERVER_ERROR),
-        },
+        catch_up::SNAPSHOT_PATH => json_of(&host.snapshot()),
+        catch_up::CONFIGURATION_PATH => {
+            json_of(&host.routes().map(|routes| routes.configuration().clone()))
+        }
         "/metrics" => http::Response::new(Full::new(Bytes::from(host.metrics_page()))),
         _ => plain(http::StatusCode::NOT_FOUND),
     })
@@ -164,6 +165,13 @@
     response
 }
 
+fn json_of(value: &impl serde::Serialize) -> http::Response<Full<Bytes>> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => json_response(Bytes::from(bytes)),
+        Err(_fault) => plain(http::StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
 fn json_response(body: Bytes) -> http::Response<Full<Bytes>> {
     let mut response = http::Response::new(Full::new(body));
     let json = http::HeaderValue::from_static("application/json");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,6 +23,8 @@
 pub mod host;
 pub mod listen;
 pub mod metrics_page;
+pub mod catch_up;
+pub mod peer_message;
 pub mod peers;
 pub mod pool;
 pub mod request;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -2,8 +2,11 @@
 
 use std::{collections, net};
 
-use super::configuration::ServiceConfiguration;
-use super::server::ServerRecord;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom as _;
+use xxhash_rust::xxh3;
+
+use super::peer_message::{PeerHeartbeat, WatchState};
 use crate::timer::Moment;
 
 /// A host that was not heard for this long is not named to callers. Four heartbeats, so that one
@@ -12,6 +15,10 @@
 pub const SILENT_MS: u64 = 2_000;
 /// A silent host's entry is removed from the store after this long.
 pub const REMOVE_MS: u64 = 20_000;
+/// Hosts of a region that watch the store. A second one sees what the first may miss.
+pub const WATCHERS: usize = 2;
+/// Hosts of other regions that each heartbeat goes to.
+const FAR_TARGETS: usize = 2;
 /// Hosts that one look-up names at most (the wire's own limit).
 const MAX_NAMED: usize = 64;
 
@@ -32,40 +39,16 @@
     pub peer_address: net::SocketAddr,
     /// Where heartbeats go (UDP).
     pub heartbeat_address: net::SocketAddr,
+    /// The part of a core that it has, in thousandths; the larger hosts watch the store.
+    pub processor_milli: u32,
 }
 
-/// What a host tells the others at regular times.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct PeerHeartbeat {
-    /// Who it is.
-    pub host: HostRecord,
-    /// Whether it serves callers.
-    pub ready: bool,
-    /// Whether it was told to stop.
-    pub leaving: bool,
-    /// The configuration that it has in force; 0 for none.
-    pub configuration_version: u64,
-    /// The store's count up to which its list of servers is current.
-    pub fleet_revision: u64,
-    /// The store's count up to which its list of evacuated halls is current.
-    pub evacuation_revision: u64,
-}
-
-/// Everything that a host can tell another whom the store does not answer.
-#[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
-pub struct PeerSnapshot {
-    /// The configuration in force.
-    pub configuration: Option<ServiceConfiguration>,
-    /// The backend servers.
-    pub servers: Vec<ServerRecord>,
-    /// The store's count up to which the servers are current; 0 when they were never listed.
-    pub fleet_revision: u64,
-    /// Halls that get no work.
-    pub evacuated: Vec<String>,
-    /// The store's count up to which these halls are current; 0 when they were never listed.
-    pub evacuation_revision: u64,
-    /// The entry hosts.
-    pub hosts: Vec<HostRecord>,
+impl HostRecord {
+    /// The order in which hosts of a region watch the store: the larger first, then by a hash.
+    fn watch_order(&self) -> (std::cmp::Reverse<u32>, u64) {
+        let hash = xxh3::xxh3_64(self.name.as_bytes());
+        (std::cmp::Reverse(self.processor_milli), hash)
+    }
 }
 
 #[derive(Debug)]
@@ -75,6 +58,18 @@
     met: Moment,
     ready: bool,
     leaving: bool,
+    watch: WatchState,
+}
+
+impl PeerEntry {
+    fn is_heard(&self, now: Moment) -> bool {
+        self.heard.is_some_and(|heard| now.since(heard) <= SILENT_MS)
+    }
+
+    /// Heard, or met so lately that its first heartbeat may be on its way.
+    fn may_live(&self, now: Moment) -> bool {
+        now.since(self.heard.unwrap_or(self.met)) <= SILENT_MS
+    }
 }
 
 /// What a heartbeat changed, for the log.
@@ -109,23 +104,27 @@
                 met: now,
                 ready: false,
                 leaving: false,
+                watch: WatchState::Idle,
             },
         );
     }
 
     /// A host was heard.
     pub fn on_heartbeat(&mut self, heartbeat: &PeerHeartbeat, now: Moment) -> PeerChange {
-        self.on_record(&heartbeat.host, now);
-        let Some(peer) = self.peers.get_mut(&heartbeat.host.name) else {
+        if let Some(record) = &heartbeat.record {
+            self.on_record(record, now);
+        }
+        let Some(peer) = self.peers.get_mut(&heartbeat.host) else {
             return PeerChange::None;
         };
-        if peer.record.run > heartbeat.host.run {
+        if peer.record.run != heartbeat.run {
             return PeerChange::None;
         }
         let silent = peer.heard.is_none_or(|heard| now.since(heard) > SILENT_MS);
         let turned = heartbeat.leaving && !peer.leaving;
         peer.heard = Some(now);
         peer.ready = heartbeat.ready;
+        peer.watch = heartbeat.watch;
         // A host that leaves never comes back in the same run; a late datagram must not undo that.
         peer.leaving |= heartbeat.leaving;
         match (turned, silent) {
@@ -140,22 +139,53 @@
         self.peers.remove(name);
     }
 
-    /// Where heartbeats go: every host that may live.
-    pub fn heartbeat_targets(&self) -> impl Iterator<Item = net::SocketAddr> {
+    /// Where heartbeats go: to the hosts of the own region, whose callers must not be sent to one
+    /// that is gone, and to a few others, by whom news travels on.
+    #[must_use]
+    pub fn heartbeat_targets(&self, region: &str, random: &mut SmallRng) -> Vec<net::SocketAddr> {
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .peers
+            .values()
+            .map(|peer| &peer.record)
+            .partition(|record| record.region == region);
+        let far = far.choose_multiple(random, FAR_TARGETS);
+        near.iter()
+            .chain(far)
+            .map(|record| record.heartbeat_address)
+            .collect()
+    }
+
+    /// Where news goes that all hosts need at once.
+    pub fn all_targets(&self) -> impl Iterator<Item = net::SocketAddr> {
         self.peers
             .values()
             .map(|peer| peer.record.heartbeat_address)
     }
 
-    /// Where what others know can be fetched, the last heard first.
+    /// Where the peer address of a host is, if it is known.
     #[must_use]
-    pub fn snapshot_sources(&self) -> Vec<net::SocketAddr> {
-        let mut peers: Vec<_> = self.peers.values().collect();
-        peers.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
-        peers
-            .into_iter()
-            .map(|peer| peer.record.peer_address)
-            .collect()
+    pub fn peer_address(&self, host: &str) -> Option<net::SocketAddr> {
+        self.peers.get(host).map(|peer| peer.record.peer_address)
+    }
+
+    /// Whether any other host is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.peers.is_empty()
+    }
+
+    /// Whether `own` is one of the hosts of its region that watch the store: fewer than
+    /// [`WATCHERS`] hosts come before it that live and do not say that the store is lost to them.
+    #[must_use]
+    pub fn is_watcher(&self, own: &HostRecord, now: Moment) -> bool {
+        let before = self.peers.values().filter(|peer| {
+            peer.record.region == own.region
+                && peer.record.watch_order() < own.watch_order()
+                && peer.may_live(now)
+                && !peer.leaving
+                && peer.watch != WatchState::Blind
+        });
+        before.count() < WATCHERS
     }
 
     /// The records of all others.
@@ -169,20 +199,21 @@
         u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
     }
 
-    /// Whether `own` is the first by name of the hosts that are heard.
+    /// Whether `own` is the first by name of the live hosts of its region.
     #[must_use]
-    pub fn is_first_alive(&self, own: &str, now: Moment) -> bool {
+    pub fn is_first_alive(&self, own: &HostRecord, now: Moment) -> bool {
         !self.peers.values().any(|peer| {
-            let heard = peer.heard.is_some_and(|heard| now.since(heard) <= SILENT_MS);
-            heard && !peer.leaving && peer.record.name.as_str() < own
+            let near = peer.record.region == own.region;
+            near && peer.is_heard(now) && !peer.leaving && peer.record.name < own.name
         })
     }
 
-    /// Hosts that were silent for so long that their entries may be removed.
+    /// Hosts of a region that were silent for so long that their entries may be removed.
     #[must_use]
-    pub fn removable(&self, now: Moment) -> Vec<String> {
+    pub fn removable(&self, region: &str, now: Moment) -> Vec<String> {
         self.peers
             .values()
+            .filter(|peer| peer.record.region == region)
             .filter(|peer| now.since(peer.heard.unwrap_or(peer.met)) > REMOVE_MS)
             .map(|peer| peer.record.name.clone())
             .collect()
@@ -200,10 +231,7 @@
         let live: Vec<&HostRecord> = self
             .peers
             .values()
-            .filter(|peer| {
-                let heard = peer.heard.is_some_and(|heard| now.since(heard) <= SILENT_MS);
-                heard && peer.ready && !peer.leaving
-            })
+            .filter(|peer| peer.is_heard(now) && peer.ready && !peer.leaving)
             .map(|peer| &peer.record)
             .chain(own)
             .collect();
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -30,6 +30,15 @@
     pub cold_ms: u64,
 }
 
+/// A server's record and when the store last changed it.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ServerObject {
+    /// The record.
+    pub record: ServerRecord,
+    /// The store's count at the record's last change.
+    pub revision: u64,
+}
+
 /// The load that a server told with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ServerLoad {
--- a/src/event.rs
+++ b/src/event.rs
@@ -90,6 +90,7 @@
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
     ObjectUnreadable = 6003, Error, "An object in the store could not be understood and is passed over.";
+    WatchRoleChanged = 6004, Info, "This host begins or ends to watch the store for its region.";
 }
 
 impl EventCode {
