--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -41,7 +41,7 @@
 
     fn poll_frame(
         self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
+        cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
             Self::Whole(bytes) => task::Poll::Ready(bytes.take().map(|all| Ok(Frame::data(all)))),
@@ -49,7 +49,7 @@
                 if let Some(bytes) = first.take() {
                     return task::Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
-                let polled = pin::Pin::new(&mut *rest).poll_frame(context);
+                let polled = pin::Pin::new(&mut *rest).poll_frame(cx);
                 let whole = match &polled {
                     task::Poll::Ready(None) => Some(true),
                     task::Poll::Ready(Some(Err(_))) => Some(false),
@@ -78,9 +78,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
             Self::Streamed { first, rest, .. } => {
                 let before = first.as_ref().map_or(0, Bytes::len) as u64;
                 match rest.size_hint().exact() {
--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -26,11 +26,11 @@
 const SPREAD_MS: u64 = 150;
 /// A fetch must end within this time: four ways between the farthest regions and the largest
 /// answer over a slow link.
-const FETCH_LIMIT: time::Duration = time::Duration::from_millis(1_000);
+const FETCH_LIMIT: time::Duration = time::Duration::from_secs(1);
 /// The largest answer that is read: some hundred servers and some thousand routes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// The time between two tries to get a first snapshot.
-const FIRST_PAUSE: time::Duration = time::Duration::from_millis(400);
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(120);
 /// Hosts asked in one such try.
 const FIRST_SOURCES: usize = 2;
 
@@ -96,8 +96,7 @@
 }
 
 async fn fetch_configuration<W: WireProtocol>(host: &EntryHost<W>, source: net::SocketAddr) {
-    let fetched =
-        fetch::<W, Option<ServiceConfiguration>>(host, source, CONFIGURATION_PATH).await;
+    let fetched = fetch::<W, Option<ServiceConfiguration>>(host, source, CONFIGURATION_PATH).await;
     if let Some(Some(configuration)) = fetched {
         host.install_configuration(&configuration, &source.to_string());
     }
@@ -140,6 +139,9 @@
 ) {
     let source = source.to_string();
     gossip::learn_hosts(host, &snapshot.hosts);
+    if snapshot.hosts_listed {
+        host.peers.borrow_mut().on_listed();
+    }
     if let Some(configuration) = &snapshot.configuration {
         host.install_configuration(configuration, &source);
     }
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -148,7 +148,7 @@
     -uniform.ln() / f64::from(server.slots)
 }
 
-/// The finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+/// The finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
 const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/src/entry/decision_log.rs
+++ b/src/entry/decision_log.rs
@@ -47,6 +47,7 @@
 #[derive(Debug, Default)]
 struct LogState {
     batch: Vec<u8>,
+    batch_lines: u64,
     second: u64,
     ordinary: u32,
     important: u32,
@@ -120,6 +121,7 @@
         let written = serde_json::to_writer(&mut state.batch, &line);
         debug_assert!(written.is_ok(), "log fields are plain data");
         state.batch.push(b'\n');
+        state.batch_lines += 1;
         if state.batch.len() >= BATCH_BYTES {
             self.hand_over(&mut state);
         }
@@ -151,7 +153,7 @@
 
     fn hand_over(&self, state: &mut LogState) {
         let batch = std::mem::take(&mut state.batch);
-        let lines = batch.iter().filter(|byte| **byte == b'\n').count() as u64;
+        let lines = std::mem::take(&mut state.batch_lines);
         let batches = self.batches.borrow();
         let sent = batches.as_ref().map(|batches| batches.try_send(batch));
         if sent.is_some_and(|sent| sent.is_err()) {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -7,8 +7,8 @@
 
 use xxhash_rust::xxh3;
 
-use super::settings::HallMap;
 use super::server::{ServerLoad, ServerObject, ServerRecord, ServerState};
+use super::settings::HallMap;
 use super::store::{ObjectChange, ObjectContent, StoredObject};
 use crate::timer::Moment;
 
@@ -416,26 +416,24 @@
         changes
     }
 
-    fn put(
-        &mut self,
-        object: &StoredObject,
-        halls: &HallMap,
-        now: Moment,
-    ) -> Option<FleetChange> {
+    fn put(&mut self, object: &StoredObject, halls: &HallMap, now: Moment) -> Option<FleetChange> {
         let record = match &object.content {
             ObjectContent::Server(record) => record,
             ObjectContent::Unreadable(reason) => {
-                return Some(FleetChange::Unreadable(format!("{}: {reason}", object.name)));
+                return Some(FleetChange::Unreadable(format!(
+                    "{}: {reason}",
+                    object.name
+                )));
             }
             _ => return None,
         };
         self.revisions.insert(object.name.clone(), object.revision);
         let before = self.records.insert(record.id.clone(), record.clone());
         if let Some(server) = self.servers.get(&record.id) {
-            if before.as_ref() != Some(record) {
-                server.update(record, now);
-            } else {
+            if before.as_ref() == Some(record) {
                 server.view.borrow_mut().gone_at = None;
+            } else {
+                server.update(record, now);
             }
             let turned = before.is_some_and(|before| before.state != record.state);
             let drains = record.state == ServerState::Draining;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -28,19 +28,15 @@
 /// Hosts learn of each other by heartbeats as well, so their kind is watched with fewer calls.
 const HOSTS_WAIT_MS: u64 = 25_000;
 /// A watch's answer may be this late.
-const WATCH_MARGIN: time::Duration = time::Duration::from_millis(1_000);
+const WATCH_MARGIN: time::Duration = time::Duration::from_secs(1);
 /// The pause after a first failure; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
 const MAX_PAUSE_MS: u64 = 800;
 /// After a change the next watch begins this much later, in which others join it: servers and
 /// hosts that start together change one after the other.
 const GROUP_PAUSE: time::Duration = time::Duration::from_millis(150);
-/// A started host listens for this long before it asks the store: one heartbeat and a little.
-const SETTLE: time::Duration = time::Duration::from_millis(300);
-/// A started host that is no seed leaves the store to the seeds for this long, and asks them.
-const FIRST_MEETING_MS: u64 = 1_500;
 /// How often a host that leaves the store to others looks whether that still holds.
-const ROLE_PAUSE: time::Duration = time::Duration::from_millis(200);
+const ROLE_PAUSE: time::Duration = time::Duration::from_millis(100);
 /// Pages that one list has at most.
 const MAX_PAGES: usize = 100;
 /// Hosts that have been silent are looked for this often.
@@ -73,8 +69,6 @@
 
 impl<W: WireProtocol, S: ObjectStore> KindFollower<W, S> {
     async fn run(mut self) {
-        // Hosts that come before this one in the order need a moment to be heard.
-        tokio::time::sleep(SETTLE).await;
         let mut position = None;
         loop {
             if !self.is_due() {
@@ -100,10 +94,14 @@
 
     /// Whether this host watches the store for its region.
     fn is_due(&self) -> bool {
-        let due = self.host.is_watcher(FIRST_MEETING_MS);
+        let due = self.host.is_watcher();
         let state = self.host.watch.get();
         if due != (state != WatchState::Idle) {
-            let next = if due { WatchState::Watching } else { WatchState::Idle };
+            let next = if due {
+                WatchState::Watching
+            } else {
+                WatchState::Idle
+            };
             self.host.watch.set(next);
             self.host
                 .note(EventCode::WatchRoleChanged, json!({ "watching": due }));
@@ -193,8 +191,10 @@
         if !lost && self.away {
             self.failures = 0;
             self.host.watch.set(WatchState::Watching);
-            self.host
-                .note(EventCode::PlatformFound, json!({ "kind": self.kind.as_str() }));
+            self.host.note(
+                EventCode::PlatformFound,
+                json!({ "kind": self.kind.as_str() }),
+            );
             if self.kind == ObjectKind::Servers {
                 let now = self.host.now();
                 self.host.fleet.borrow_mut().on_store_return(now);
@@ -241,6 +241,7 @@
                 });
                 let records: Vec<_> = records.collect();
                 gossip::learn_hosts(&self.host, &records);
+                self.host.peers.borrow_mut().on_listed();
             }
         }
     }
@@ -271,8 +272,7 @@
         let now = self.host.now();
         let mut fleet = self.host.fleet.borrow_mut();
         let since = fleet.changed();
-        let changes =
-            fleet.on_changes(&batch.changes, Some(batch.revision), &settings.halls, now);
+        let changes = fleet.on_changes(&batch.changes, Some(batch.revision), &settings.halls, now);
         drop(fleet);
         self.host.note_fleet(&changes, "store");
         gossip::pass_on_fleet(&self.host, since, batch.revision, &batch.changes);
@@ -311,10 +311,7 @@
 }
 
 /// Writes this host's own entry, by which the others meet it.
-async fn register<W: WireProtocol, S: ObjectStore>(
-    host: rc::Rc<EntryHost<W>>,
-    store: rc::Rc<S>,
-) {
+async fn register<W: WireProtocol, S: ObjectStore>(host: rc::Rc<EntryHost<W>>, store: rc::Rc<S>) {
     let mut pause_ms = FIRST_PAUSE_MS;
     while !host.is_leaving() {
         let record = host.record();
@@ -322,7 +319,10 @@
         if matches!(call.await, Ok(Ok(()))) {
             return;
         }
-        let millis = host.random.borrow_mut().random_range(pause_ms / 2..=pause_ms);
+        let millis = host
+            .random
+            .borrow_mut()
+            .random_range(pause_ms / 2..=pause_ms);
         tokio::time::sleep(time::Duration::from_millis(millis)).await;
         pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
     }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -230,7 +230,10 @@
         PeerChange::None => None,
     };
     if let Some(event) = event {
-        host.note(event, json!({ "peer": heartbeat.host, "run": heartbeat.run }));
+        host.note(
+            event,
+            json!({ "peer": heartbeat.host, "run": heartbeat.run }),
+        );
     }
     if heartbeat.evacuation_changed > host.evacuation_revision() {
         let halls = heartbeat.evacuated.iter().cloned().collect();
@@ -257,7 +260,7 @@
         },
         deleted: true,
     });
-    let changes: Vec<_> = changed.chain(gone).collect();
+    let batch: Vec<_> = changed.chain(gone).collect();
     let whole = host.socket.is_whole(news);
     let settings = host.settings();
     let mut fleet = host.fleet.borrow_mut();
@@ -266,7 +269,7 @@
     }
     let contiguous = whole && fleet.is_listed() && news.since <= fleet.revision();
     let revision = contiguous.then_some(news.until);
-    let noted = fleet.on_changes(&changes, revision, &settings.halls, now);
+    let noted = fleet.on_changes(&batch, revision, &settings.halls, now);
     drop(fleet);
     host.note_fleet(&noted, &news.host);
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -12,8 +12,8 @@
 use super::configuration::{RouteTable, ServiceConfiguration};
 use super::decision_log::{DecisionLog, LineWeight};
 use super::fleet::{Fleet, FleetChange, FleetServer};
-use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::gossip::PeerSocket;
+use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::peer_message::{PeerHeartbeat, PeerSnapshot, WatchState};
 use super::peers::{HostRecord, PeerTable};
 use super::pool::ServerPool;
@@ -37,6 +37,11 @@
 /// A host that was told to stop and has had no request for this long ends early. Longer than the
 /// time for which callers keep a look-up's answer.
 const QUIET_BEFORE_STOP_MS: u64 = 2_500;
+/// A started host that is no seed leaves the store to the seeds for this long, and asks them. When
+/// the whole system starts for the first time there are no callers yet, but many hosts at once.
+const FIRST_MEETING_MS: u64 = 1_500;
+/// The same at any other start, with callers waiting: a few tries to reach a seed.
+const MEETING_MS: u64 = 350;
 /// Weight of the newest answer in a route's usual time.
 const USUAL_WEIGHT: f64 = 0.05;
 /// A route's usual time before its first answer, as a share of its goal.
@@ -217,7 +222,10 @@
             self.on_evacuation_end(hall);
         }
         for hall in halls.difference(&before) {
-            self.note(EventCode::HallEvacuated, json!({ "hall": hall, "revision": revision }));
+            self.note(
+                EventCode::HallEvacuated,
+                json!({ "hall": hall, "revision": revision }),
+            );
         }
         let mut evacuations = self.evacuations.borrow_mut();
         if before != halls {
@@ -415,26 +423,36 @@
         let mut hosts: Vec<_> = self.peers.borrow().records().cloned().collect();
         hosts.push(self.record());
         PeerSnapshot {
-            configuration: routes
-                .as_ref()
-                .map(|routes| routes.configuration().clone()),
+            configuration: routes.as_ref().map(|routes| routes.configuration().clone()),
             servers: fleet.objects().collect(),
-            fleet_revision: if fleet.is_listed() { fleet.revision() } else { 0 },
+            fleet_revision: if fleet.is_listed() {
+                fleet.revision()
+            } else {
+                0
+            },
             evacuated: evacuations.halls.iter().cloned().collect(),
             evacuation_revision: evacuations.revision,
             hosts,
+            hosts_listed: self.peers.borrow().is_listed(),
         }
     }
 
     /// Whether this host is one of those that watch the store for its region. Until it has met
-    /// others, or for `first_ms` from its start, only a seed is.
+    /// others, or for a short time from its start, only a seed is.
     #[must_use]
-    pub fn is_watcher(&self, first_ms: u64) -> bool {
+    pub fn is_watcher(&self) -> bool {
         let peers = self.peers.borrow();
         let now = self.now();
-        if peers.is_empty() && now.0 < first_ms {
+        if peers.is_empty() {
             let settings = self.settings.borrow();
-            return settings.seeds.contains(&settings.peer_address);
+            let meeting = if settings.first_start {
+                FIRST_MEETING_MS
+            } else {
+                MEETING_MS
+            };
+            if now.0 < meeting {
+                return settings.seeds.contains(&settings.peer_address);
+            }
         }
         peers.is_watcher(&self.record(), now)
     }
@@ -446,7 +464,7 @@
         let current = CurrentFigures {
             configuration_version: self.configuration_version(),
             servers: self.fleet.borrow().servers().count(),
-            peers: self.peers.borrow().host_count() - 1,
+            peers: self.peers.borrow().records().count(),
             idle_connections: self.pool.borrow().idle_count(),
             open_requests: self.open_requests.get(),
             log_left_out: loss.left_out,
@@ -500,7 +518,10 @@
     gossip::spawn(&host)?;
     follow::spawn(&host, &store);
     look_after(&host, &store, file, signals).await;
-    host.note(EventCode::ProcessStopped, json!({ "open_requests": host.open_requests.get() }));
+    host.note(
+        EventCode::ProcessStopped,
+        json!({ "open_requests": host.open_requests.get() }),
+    );
     host.log.close();
     // A writer that panicked has ended too.
     let _outcome = writer.join();
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -87,7 +87,7 @@
     /// Backend servers known.
     pub servers: usize,
     /// Other entry hosts known.
-    pub peers: u32,
+    pub peers: usize,
     /// Idle connections to servers.
     pub idle_connections: usize,
     /// Requests being served.
@@ -159,7 +159,7 @@
                 current.configuration_version,
             ),
             ("ledgespool_servers", current.servers as u64),
-            ("ledgespool_peers", u64::from(current.peers)),
+            ("ledgespool_peers", current.peers as u64),
             (
                 "ledgespool_idle_connections",
                 current.idle_connections as u64,
@@ -190,8 +190,16 @@
         }
         let all = format!("route=\"{route}\",le=\"+Inf\"");
         line(page, &format!("{NAME}_bucket{{{all}}}"), self.count);
-        line(page, &format!("{NAME}_sum{{route=\"{route}\"}}"), self.sum_ms);
-        line(page, &format!("{NAME}_count{{route=\"{route}\"}}"), self.count);
+        line(
+            page,
+            &format!("{NAME}_sum{{route=\"{route}\"}}"),
+            self.sum_ms,
+        );
+        line(
+            page,
+            &format!("{NAME}_count{{route=\"{route}\"}}"),
+            self.count,
+        );
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 
 pub mod answer;
 pub mod budget;
+pub mod catch_up;
 pub mod choice;
 pub mod configuration;
 pub mod decision_log;
@@ -23,7 +24,6 @@
 pub mod host;
 pub mod listen;
 pub mod metrics_page;
-pub mod catch_up;
 pub mod peer_message;
 pub mod peers;
 pub mod pool;
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -94,4 +94,6 @@
     pub evacuation_revision: u64,
     /// The entry hosts.
     pub hosts: Vec<HostRecord>,
+    /// Whether these are all that the store knew.
+    pub hosts_listed: bool,
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -17,6 +17,9 @@
 pub const REMOVE_MS: u64 = 20_000;
 /// Hosts of a region that watch the store. A second one sees what the first may miss.
 pub const WATCHERS: usize = 2;
+/// Hosts that are assumed until the whole list was read: the largest deployments in use have about
+/// as many.
+const UNLISTED_HOSTS: u32 = 100;
 /// Hosts of other regions that each heartbeat goes to.
 const FAR_TARGETS: usize = 2;
 /// Hosts that one look-up names at most (the wire's own limit).
@@ -63,7 +66,8 @@
 
 impl PeerEntry {
     fn is_heard(&self, now: Moment) -> bool {
-        self.heard.is_some_and(|heard| now.since(heard) <= SILENT_MS)
+        self.heard
+            .is_some_and(|heard| now.since(heard) <= SILENT_MS)
     }
 
     /// Heard, or met so lately that its first heartbeat may be on its way.
@@ -87,6 +91,7 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: collections::HashMap<String, PeerEntry>,
+    listed: bool,
 }
 
 impl PeerTable {
@@ -193,10 +198,27 @@
         self.peers.values().map(|peer| &peer.record)
     }
 
-    /// All hosts that shared limits are divided by, this one included.
+    /// The whole list of hosts was read, from the store or from a host that had read it.
+    pub const fn on_listed(&mut self) {
+        self.listed = true;
+    }
+
+    /// Whether the whole list of hosts was ever read.
+    #[must_use]
+    pub const fn is_listed(&self) -> bool {
+        self.listed
+    }
+
+    /// All hosts that shared limits are divided by, this one included. A host that has just
+    /// started and has met few others must not take their parts, so it counts many.
     #[must_use]
     pub fn host_count(&self) -> u32 {
-        u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
+        let known = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        if self.listed {
+            known
+        } else {
+            known.max(UNLISTED_HOSTS)
+        }
     }
 
     /// Whether `own` is the first by name of the live hosts of its region.
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -49,7 +49,12 @@
 
 impl ServerPool {
     /// A sound idle connection, the last used first.
-    pub fn take(&mut self, server_id: &str, must_be_fresh: bool, now: Moment) -> Option<ServerSender> {
+    pub fn take(
+        &mut self,
+        server_id: &str,
+        must_be_fresh: bool,
+        now: Moment,
+    ) -> Option<ServerSender> {
         let idle = self.idle.get_mut(server_id)?;
         while let Some(connection) = idle.pop() {
             let stale = now >= connection.until;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -150,8 +150,8 @@
     let limit = routes.configuration().limits.body_bytes;
     let body = read_body(body, usize::try_from(limit).unwrap_or(usize::MAX)).await?;
     let caller = host.wire.read_caller(&head.headers);
-    let held = time::Duration::from_millis(route.timeout_ms);
-    let time_left = caller.time_left.map_or(held, |left| left.min(held));
+    let longest = time::Duration::from_millis(route.timeout_ms);
+    let time_left = caller.time_left.map_or(longest, |left| left.min(longest));
     let object = caller
         .object_key
         .filter(|_| route.sticky)
@@ -316,15 +316,15 @@
             OfferEnd::Lost { reason } => {
                 note_offer(host, open, &server, reason);
                 note_failure(host, &server);
-                let lost = RequestFailure::with_status(
+                let failure = RequestFailure::with_status(
                     http::StatusCode::BAD_GATEWAY,
                     RequestEnd::Lost,
                     reason,
                 );
                 if !open.forward.may_repeat {
-                    return Err(lost);
+                    return Err(failure);
                 }
-                last = Some(lost);
+                last = Some(failure);
             }
         }
         sent += 1;
@@ -354,11 +354,10 @@
     let fleet = host.fleet.borrow();
     let evacuated = host.evacuated_halls();
     let routes = host.routes();
-    let rule = routes.as_ref().and_then(|routes| routes.service(&open.service));
-    let goal_left = open
-        .route
-        .goal_ms
-        .saturating_sub(now.since(open.arrived));
+    let rule = routes
+        .as_ref()
+        .and_then(|routes| routes.service(&open.service));
+    let goal_left = open.route.goal_ms.saturating_sub(now.since(open.arrived));
     let query = ChoiceQuery {
         servers: fleet.of_service(&open.service),
         object: open.object,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -29,6 +29,8 @@
     pub heartbeat_port: u16,
     /// Peer addresses of some hosts to begin with; they may be out of date.
     pub seeds: Vec<net::SocketAddr>,
+    /// Whether the system as a whole starts for the first time.
+    pub first_start: bool,
     /// The platform's object store.
     pub store_address: net::SocketAddr,
     /// Memory that the process may use, in bytes.
@@ -56,9 +58,9 @@
 }
 
 impl FromIterator<(String, String)> for HallMap {
-    fn from_iter<I: IntoIterator<Item = (String, String)>>(halls: I) -> Self {
+    fn from_iter<T: IntoIterator<Item = (String, String)>>(iter: T) -> Self {
         Self {
-            regions: halls.into_iter().collect(),
+            regions: iter.into_iter().collect(),
         }
     }
 }
@@ -115,6 +117,7 @@
         // The range above ends at the largest port.
         heartbeat_port: u16::try_from(heartbeat_port).unwrap_or(u16::MAX),
         seeds: reader.parsed_list("seeds", "IP:PORT"),
+        first_start: reader.boolean("first_start"),
         store_address: reader.address("store_address"),
         memory_bytes: u64::from(reader.integer("memory_mb", 1..=u32::MAX)) << 20,
         descriptors: reader.integer("descriptors", 1..=u32::MAX),
@@ -133,15 +136,11 @@
     const RETRY_WINDOW: time::Duration = time::Duration::from_secs(10);
     const RETRY_RATIO: f64 = 0.1;
     SharedBounds {
-        stop_grace: reader
-            .optional_duration("stop_grace")
-            .unwrap_or(STOP_GRACE),
+        stop_grace: reader.optional_duration("stop_grace").unwrap_or(STOP_GRACE),
         time_to_live_max: reader
             .optional_duration("time_to_live_max")
             .unwrap_or(TIME_TO_LIVE),
-        retry_ratio: reader
-            .optional_share("retry_ratio")
-            .unwrap_or(RETRY_RATIO),
+        retry_ratio: reader.optional_share("retry_ratio").unwrap_or(RETRY_RATIO),
         retry_window: reader
             .optional_duration("retry_window")
             .unwrap_or(RETRY_WINDOW),
