--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -22,7 +22,7 @@
 /// cold and pushes other objects out of the server's memory: on a busy day four were worth more
 /// than the whole fleet (the trial in the design note).
 pub const RANK_DEPTH: usize = 4;
-/// A server slower than this multiple of what is usual is passed over while others have room.
+/// A server slower than this multiple of what is usual gets no first runs on an object.
 const SLOW_PACE: f64 = 2.5;
 /// Added to the expected time at a server in another region, in milliseconds, until it shows in
 /// the measured times: two ways of a typical 20 ms.
@@ -52,6 +52,8 @@
     pub near: bool,
     /// How long such a request usually takes, in milliseconds.
     pub usual_ms: f64,
+    /// How long it takes on a server that does not know its object, in milliseconds.
+    pub first_ms: f64,
     /// How long an answer is still worth waiting for, in milliseconds.
     pub patience_ms: f64,
     /// The most that a cold server may get of this host within a second.
@@ -93,19 +95,20 @@
     if ranked.is_empty() {
         return refuse(query, NoServer::NoneFit, random);
     }
-    let with_room = ranked.iter().find(|server| has_room(query, server));
-    if let Some(server) = with_room {
-        return ServerChoice::Offer(rc::Rc::clone(server));
-    }
     let soonest = ranked
         .iter()
-        .map(|server| (expected_ms(query, server), server))
+        .enumerate()
+        .map(|(place, server)| (expected_ms(query, server, place), server))
         .min_by(|a, b| a.0.total_cmp(&b.0));
-    match soonest {
-        Some((millis, server)) if millis <= query.patience_ms => {
-            ServerChoice::Offer(rc::Rc::clone(server))
-        }
-        _ => refuse(query, NoServer::AllFull, random),
+    if let Some((millis, server)) = soonest
+        && millis <= query.patience_ms
+    {
+        return ServerChoice::Offer(rc::Rc::clone(server));
+    }
+    // A first run on an object is let through also when it will be late: those after it are not.
+    match ranked.iter().find(|server| has_room(query, server)) {
+        Some(server) => ServerChoice::Offer(rc::Rc::clone(server)),
+        None => refuse(query, NoServer::AllFull, random),
     }
 }
 
@@ -166,25 +169,32 @@
     while drawn.len() < RANK_DEPTH && !all.is_empty() {
         drawn.push(all.swap_remove(random.random_range(0..all.len())));
     }
-    drawn.sort_by(|a, b| expected_ms(query, a).total_cmp(&expected_ms(query, b)));
     drawn
 }
 
-fn has_room(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
-    server.expected_load(query.now) + 1.0 <= f64::from(server.slots) && server.pace() < SLOW_PACE
-}
-
-/// When an answer may be expected, in milliseconds: the wait for a slot, the work, the way.
-fn expected_ms(query: &ChoiceQuery<'_>, server: &FleetServer) -> f64 {
+/// When an answer may be expected, in milliseconds: the wait for a slot, the work, the way. The
+/// first in rank is taken to know the object, since all hosts send it there.
+fn expected_ms(query: &ChoiceQuery<'_>, server: &FleetServer, place: usize) -> f64 {
     let slots = f64::from(server.slots);
     let ahead = (server.expected_load(query.now) + 1.0 - slots).max(0.0);
-    let work = query.usual_ms * server.pace();
+    let knows = place == 0 || query.object.is_none_or(|object| server.knows_object(object));
+    let usual = if knows {
+        query.usual_ms
+    } else {
+        query.first_ms
+    };
+    let wait = query.usual_ms * server.pace() * ahead / slots;
+    let work = usual * server.pace();
     let way = if server.region == query.region {
         0.0
     } else {
         OTHER_REGION_MS
     };
-    work * (1.0 + ahead / slots) + way
+    wait + work + way
+}
+
+fn has_room(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
+    server.expected_load(query.now) + 1.0 <= f64::from(server.slots) && server.pace() < SLOW_PACE
 }
 
 fn refuse(query: &ChoiceQuery<'_>, reason: NoServer, random: &mut SmallRng) -> ServerChoice {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -127,6 +127,12 @@
         view.told = Some(ToldLoad { load, own, at: now });
     }
 
+    /// Whether this host lately sent requests about `object` there.
+    #[must_use]
+    pub fn knows_object(&self, object: u64) -> bool {
+        self.view.borrow().objects.contains(&object)
+    }
+
     /// Whether this host lately sent requests about `object` there, so that the server probably
     /// works faster on it. Notes that one more was sent.
     pub fn remember_object(&self, object: u64) -> bool {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -57,6 +57,15 @@
     changed: u64,
 }
 
+/// How long the requests of a route usually take, in milliseconds; `None` before the first.
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteTimes {
+    /// On a server that knows their object.
+    known: Option<f64>,
+    /// On one that does not.
+    first: Option<f64>,
+}
+
 /// How long one answer took.
 #[derive(Debug, Clone, Copy)]
 pub struct AnswerSample<'a> {
@@ -97,7 +106,7 @@
     routes: cell::RefCell<Option<rc::Rc<RouteTable>>>,
     evacuations: cell::RefCell<EvacuationList>,
     retries: cell::RefCell<collections::HashMap<String, RetryWindow>>,
-    usual_ms: cell::RefCell<collections::HashMap<String, f64>>,
+    usual_ms: cell::RefCell<collections::HashMap<String, RouteTimes>>,
     leaving: cell::Cell<Option<Moment>>,
     open_requests: cell::Cell<u32>,
     last_request: cell::Cell<Moment>,
@@ -315,28 +324,45 @@
     /// How long a request of a route usually takes, in milliseconds.
     #[must_use]
     pub fn usual_ms(&self, route: &str, goal_ms: u64) -> f64 {
-        let usual = self.usual_ms.borrow();
-        let first = goal_ms as f64 * FIRST_USUAL_SHARE;
-        usual.get(route).copied().unwrap_or(first).max(1.0)
+        let known = self
+            .usual_ms
+            .borrow()
+            .get(route)
+            .and_then(|times| times.known);
+        known.unwrap_or(goal_ms as f64 * FIRST_USUAL_SHARE)
     }
 
     /// A server answered a request of a route. Only answers about objects that the server knows
     /// tell its pace: a first run is several times longer on the fastest server too.
     pub fn on_answer_time(&self, server: &FleetServer, sample: &AnswerSample<'_>) {
         server.on_success();
-        if !sample.known_object {
-            return;
-        }
-        let millis = sample.millis as f64;
+        let millis = (sample.millis as f64).max(1.0);
         let mut all = self.usual_ms.borrow_mut();
-        let Some(usual) = all.get_mut(sample.route) else {
-            all.insert(sample.route.to_owned(), millis.max(1.0));
-            return;
+        let times = all.entry(sample.route.to_owned()).or_default();
+        let kind = if sample.known_object {
+            &mut times.known
+        } else {
+            &mut times.first
         };
-        server.on_pace(millis / usual.max(1.0));
+        let usual = kind.get_or_insert(millis);
+        if sample.known_object {
+            server.on_pace(millis / *usual);
+        }
         *usual += USUAL_WEIGHT * (millis - *usual);
     }
 
+    /// How long a request of a route takes on a server that does not know its object, in
+    /// milliseconds.
+    #[must_use]
+    pub fn first_ms(&self, route: &str, goal_ms: u64) -> f64 {
+        let first = self
+            .usual_ms
+            .borrow()
+            .get(route)
+            .and_then(|times| times.first);
+        first.unwrap_or(goal_ms as f64)
+    }
+
     /// A caller's request begins.
     pub fn on_request_begin(&self) {
         self.open_requests.set(self.open_requests.get() + 1);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -367,6 +367,7 @@
         tried,
         near: open.route.kind == RequestKind::Download,
         usual_ms: host.usual_ms(&open.route.name, open.route.goal_ms),
+        first_ms: host.first_ms(&open.route.name, open.route.goal_ms),
         patience_ms: goal_left as f64,
         cold_share: host.cold_share(rule.map_or(0.0, |rule| rule.cold_per_s)),
         now,
