--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -22,6 +22,9 @@
 /// cold and pushes other objects out of the server's memory: on a busy day four were worth more
 /// than the whole fleet (the trial in the design note).
 pub const RANK_DEPTH: usize = 4;
+/// Servers in rank order that may get first runs on an object that will be late: enough that a
+/// busy object gets warm somewhere, few enough that first runs do not take the slots of others.
+const FIRST_RUN_DEPTH: usize = 2;
 /// A server slower than this multiple of what is usual gets no first runs on an object.
 const SLOW_PACE: f64 = 2.5;
 /// Added to the expected time at a server in another region, in milliseconds, until it shows in
@@ -106,7 +109,8 @@
         return ServerChoice::Offer(rc::Rc::clone(server));
     }
     // A first run on an object is let through also when it will be late: those after it are not.
-    match ranked.iter().find(|server| has_room(query, server)) {
+    let first_runs = ranked.iter().take(FIRST_RUN_DEPTH);
+    match first_runs.into_iter().find(|server| has_room(query, server)) {
         Some(server) => ServerChoice::Offer(rc::Rc::clone(server)),
         None => refuse(query, NoServer::AllFull, random),
     }
