--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -4,8 +4,9 @@
 //! others keeps it as well. The number of hosts only grows quickly and shrinks slowly; counting
 //! too many makes a part smaller, which is safe.
 
-use std::collections;
+use std::{collections, rc};
 
+use super::choice;
 use super::fleet::FleetServer;
 use crate::timer::Moment;
 
@@ -18,33 +19,38 @@
 const RETRY_STEPS: u64 = 20;
 
 /// What one host may send to a cold server.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ColdShare {
     /// Requests within a second that all hosts may send together.
     pub all_per_s: f64,
-    /// Hosts that share them.
+    /// Hosts that share them, if more than are listed below.
     pub hosts: u32,
     /// A hash of this host's name.
-    pub host_hash: u64,
+    pub own_hash: u64,
+    /// Hashes of the names of all others; `None` until the whole list of hosts was read.
+    pub other_hashes: Option<rc::Rc<[u64]>>,
 }
 
 impl ColdShare {
     /// Whether one more request may go to `server`, which is cold.
     ///
-    /// With more hosts than requests, a hash of host and server deals the requests out: the part
-    /// of the hosts that may send one at all is as large as the limit allows.
+    /// With more hosts than requests, only as many hosts as there are requests send one each: the
+    /// first by a hash of host and server.
     #[must_use]
     pub fn allows(&self, server: &FleetServer, now: Moment) -> bool {
-        let hosts = f64::from(self.hosts.max(1));
-        let own = self.all_per_s * PLANNED_SHARE / hosts;
+        let planned = self.all_per_s * PLANNED_SHARE;
+        let own = planned / f64::from(self.hosts.max(1));
         let sent = server.cold_sends(now, COLD_WINDOW_MS) as f64;
         if own >= 1.0 {
             return sent + 1.0 <= own.floor();
         }
-        let lot = (self.host_hash ^ server.hash).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11;
-        let lot = lot as f64 / (1_u64 << 53) as f64;
-        // Half, since the hash deals unevenly.
-        lot < own / 2.0 && sent < 1.0
+        let Some(others) = &self.other_hashes else {
+            return false;
+        };
+        let place = |hash: u64| choice::mix(hash ^ server.hash);
+        let own_place = place(self.own_hash);
+        let before = others.iter().filter(|hash| place(**hash) < own_place);
+        sent < 1.0 && (before.count() as f64) < planned.floor()
     }
 }
 
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -13,6 +13,7 @@
 
 use rand::Rng as _;
 use rand::rngs::SmallRng;
+use rand::seq::IteratorRandom as _;
 
 use super::budget;
 use super::fleet::FleetServer;
@@ -93,7 +94,7 @@
     let fit = query.servers.iter().filter(|server| fits(query, server));
     let ranked = match query.object {
         Some(object) => rank_by_object(fit, object, query),
-        None => rank_by_room(fit, query, random),
+        None => draw(fit, random),
     };
     if ranked.is_empty() {
         return refuse(query, NoServer::NoneFit, random);
@@ -110,7 +111,10 @@
     }
     // A first run on an object is let through also when it will be late: those after it are not.
     let first_runs = ranked.iter().take(FIRST_RUN_DEPTH);
-    match first_runs.into_iter().find(|server| has_room(query, server)) {
+    match first_runs
+        .into_iter()
+        .find(|server| has_room(query, server))
+    {
         Some(server) => ServerChoice::Offer(rc::Rc::clone(server)),
         None => refuse(query, NoServer::AllFull, random),
     }
@@ -155,25 +159,26 @@
     -uniform.ln() / f64::from(server.slots)
 }
 
-/// The finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
-const fn mix(value: u64) -> u64 {
+/// Spreads a hash over all its bits: the finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
+///
+/// ```
+/// use ledgespool::entry::choice;
+/// assert_ne!(choice::mix(1), choice::mix(2));
+/// ```
+#[must_use]
+pub const fn mix(value: u64) -> u64 {
     let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     value ^ (value >> 31)
 }
 
-/// Two at random of those near, and two of all: the less loaded first.
-fn rank_by_room<'a>(
+/// A few at random, among which the earliest expected answer decides: two choices are nearly as
+/// good as all, and hosts do not all run to the same server (Mitzenmacher, 2001).
+fn draw<'a>(
     fit: impl Iterator<Item = &'a rc::Rc<FleetServer>>,
-    query: &ChoiceQuery<'_>,
     random: &mut SmallRng,
 ) -> Vec<rc::Rc<FleetServer>> {
-    let mut all: Vec<_> = fit.cloned().collect();
-    let mut drawn = Vec::with_capacity(RANK_DEPTH);
-    while drawn.len() < RANK_DEPTH && !all.is_empty() {
-        drawn.push(all.swap_remove(random.random_range(0..all.len())));
-    }
-    drawn
+    fit.cloned().choose_multiple(random, RANK_DEPTH)
 }
 
 /// When an answer may be expected, in milliseconds: the wait for a slot, the work, the way. The
@@ -181,7 +186,10 @@
 fn expected_ms(query: &ChoiceQuery<'_>, server: &FleetServer, place: usize) -> f64 {
     let slots = f64::from(server.slots);
     let ahead = (server.expected_load(query.now) + 1.0 - slots).max(0.0);
-    let knows = place == 0 || query.object.is_none_or(|object| server.knows_object(object));
+    let knows = place == 0
+        || query
+            .object
+            .is_none_or(|object| server.knows_object(object));
     let usual = if knows {
         query.usual_ms
     } else {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -278,7 +278,8 @@
         ColdShare {
             all_per_s: cold_per_s * settings.bounds.cold_factor + settings.bounds.cold_slack,
             hosts: self.peers.borrow().host_count(),
-            host_hash: xxh3::xxh3_64(settings.name.as_bytes()),
+            own_hash: xxh3::xxh3_64(settings.name.as_bytes()),
+            other_hashes: self.peers.borrow().other_hashes(),
         }
     }
 
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,6 +1,6 @@
 //! The entry hosts that this one knows: who lives, who is ready, whom callers are sent to.
 
-use std::{collections, net};
+use std::{collections, net, rc};
 
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom as _;
@@ -91,6 +91,7 @@
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: collections::HashMap<String, PeerEntry>,
+    hashes: rc::Rc<[u64]>,
     listed: bool,
 }
 
@@ -112,6 +113,7 @@
                 watch: WatchState::Idle,
             },
         );
+        self.rehash();
     }
 
     /// A host was heard.
@@ -142,6 +144,18 @@
     /// A host's entry is gone from the store.
     pub fn on_removed(&mut self, name: &str) {
         self.peers.remove(name);
+        self.rehash();
+    }
+
+    fn rehash(&mut self) {
+        let hash = |name: &String| xxh3::xxh3_64(name.as_bytes());
+        self.hashes = self.peers.keys().map(hash).collect();
+    }
+
+    /// Hashes of the names of all others; `None` until the whole list was read.
+    #[must_use]
+    pub fn other_hashes(&self) -> Option<rc::Rc<[u64]>> {
+        self.listed.then(|| rc::Rc::clone(&self.hashes))
     }
 
     /// Where heartbeats go: to the hosts of the own region, whose callers must not be sent to one
--- /dev/null
+++ b/tests/entry_choice.rs
@@ -0,0 +1,290 @@
+//! Routes and the choice of a server.
+
+use std::collections::BTreeSet;
+
+use ledgespool::entry::budget::ColdShare;
+use ledgespool::entry::choice::{self, ChoiceQuery, NoServer, RANK_DEPTH, ServerChoice};
+use ledgespool::entry::configuration::{
+    CallerLimits, RequestKind, RouteRule, RouteTable, ServiceConfiguration, ServiceShare,
+};
+use ledgespool::entry::fleet::Fleet;
+use ledgespool::entry::server::{ServerLoad, ServerRecord, ServerState};
+use ledgespool::entry::settings::HallMap;
+use ledgespool::entry::store::{ObjectContent, StoredObject};
+use ledgespool::timer::Moment;
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
+fn route(name: &str, host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RequestKind::Repeatable,
+        timeout_ms: 1_000,
+        goal_ms: 400,
+        priority: 0,
+        attempts: 2,
+        sticky: true,
+        shares: vec![
+            ServiceShare {
+                service: "desk".to_owned(),
+                weight: 90.0,
+            },
+            ServiceShare {
+                service: "vault".to_owned(),
+                weight: 10.0,
+            },
+        ],
+        homes: Vec::new(),
+    }
+}
+
+fn table(routes: Vec<RouteRule>) -> RouteTable {
+    RouteTable::from_configuration(ServiceConfiguration {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_ms: 1,
+            idle_ms: 1,
+        },
+    })
+}
+
+fn fleet(count: usize) -> Fleet {
+    let halls: HallMap = [("east", "one"), ("west", "two")]
+        .map(|(hall, region)| (hall.to_owned(), region.to_owned()))
+        .into_iter()
+        .collect();
+    let objects: Vec<StoredObject> = (0..count)
+        .map(|number| StoredObject {
+            name: format!("i-{number:03}"),
+            revision: 1,
+            content: ObjectContent::Server(ServerRecord {
+                id: format!("i-{number:03}"),
+                service: "desk".to_owned(),
+                address: "127.0.0.1:9".parse().expect("an address"),
+                hall: if number % 2 == 0 { "east" } else { "west" }.to_owned(),
+                slots: 3,
+                state: ServerState::Ready,
+                cold_ms: 0,
+            }),
+        })
+        .collect();
+    let mut fleet = Fleet::default();
+    fleet.on_list(&objects, 1, &halls, Moment(0));
+    fleet
+}
+
+struct Asked<'a> {
+    fleet: &'a Fleet,
+    object: Option<u64>,
+    homes: &'a [String],
+    evacuated: &'a BTreeSet<String>,
+    tried: &'a [String],
+}
+
+fn choose(asked: &Asked<'_>) -> ServerChoice {
+    let query = ChoiceQuery {
+        servers: asked.fleet.of_service("desk"),
+        object: asked.object,
+        region: "one",
+        homes: asked.homes,
+        evacuated: asked.evacuated,
+        tried: asked.tried,
+        near: false,
+        usual_ms: 100.0,
+        first_ms: 300.0,
+        patience_ms: 400.0,
+        cold_share: ColdShare {
+            all_per_s: 20.0,
+            hosts: 1,
+            own_hash: 1,
+            other_hashes: None,
+        },
+        now: Moment(0),
+    };
+    choice::choose(&query, &mut SmallRng::seed_from_u64(5))
+}
+
+fn chosen(asked: &Asked<'_>) -> Option<String> {
+    match choose(asked) {
+        ServerChoice::Offer(server) => Some(server.id.clone()),
+        ServerChoice::Refuse { .. } => None,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_found() {
+    let table = table(vec![
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ]);
+    let found = |host, path| table.route_of(host, path).map(|route| route.name.clone());
+    assert_eq!(found("a.example", "/x/y/z/1").as_deref(), Some("long"));
+    assert_eq!(found("a.example", "/x/yy").as_deref(), Some("short"));
+    assert_eq!(found("a.example", "/y/"), None);
+    assert_eq!(found("c.example", "/x/"), None);
+}
+
+#[test]
+fn shares_are_laid_end_to_end() {
+    let route = route("r", "a", "/");
+    assert_eq!(route.service_at(0.0), Some("desk"));
+    assert_eq!(route.service_at(0.899), Some("desk"));
+    assert_eq!(route.service_at(0.901), Some("vault"));
+    assert_eq!(route.service_at(0.999_999), Some("vault"));
+}
+
+#[test]
+fn an_object_keeps_its_server_and_moves_on_only_when_it_is_full() {
+    let fleet = fleet(24);
+    let none = BTreeSet::new();
+    let asked = Asked {
+        fleet: &fleet,
+        object: Some(7),
+        homes: &[],
+        evacuated: &none,
+        tried: &[],
+    };
+    let first = chosen(&asked).expect("a server");
+    assert_eq!(chosen(&asked).as_deref(), Some(first.as_str()));
+    let server = fleet
+        .of_service("desk")
+        .iter()
+        .find(|server| server.id == first);
+    let server = server.expect("the chosen one");
+    server.on_load(
+        ServerLoad {
+            running: 3,
+            waiting: 9,
+            slots: 3,
+        },
+        Moment(0),
+    );
+    assert_ne!(chosen(&asked).as_deref(), Some(first.as_str()));
+}
+
+#[test]
+fn homes_evacuated_halls_and_tried_servers_are_kept_to() {
+    let fleet = fleet(24);
+    let none = BTreeSet::new();
+    let home = ["two".to_owned()];
+    for object in 0..200 {
+        let asked = Asked {
+            fleet: &fleet,
+            object: Some(object),
+            homes: &home,
+            evacuated: &none,
+            tried: &[],
+        };
+        let id = chosen(&asked).expect("a server");
+        let server = fleet
+            .of_service("desk")
+            .iter()
+            .find(|server| server.id == id);
+        assert_eq!(server.map(|server| server.region.as_str()), Some("two"));
+    }
+    let both: BTreeSet<String> = ["east".to_owned(), "west".to_owned()].into();
+    let asked = Asked {
+        fleet: &fleet,
+        object: Some(1),
+        homes: &[],
+        evacuated: &both,
+        tried: &[],
+    };
+    assert!(matches!(
+        choose(&asked),
+        ServerChoice::Refuse {
+            reason: NoServer::NoneFit,
+            ..
+        }
+    ));
+    let asked = Asked {
+        fleet: &fleet,
+        object: Some(1),
+        homes: &[],
+        evacuated: &none,
+        tried: &[],
+    };
+    let first = [chosen(&asked).expect("a server")];
+    let asked = Asked {
+        tried: &first,
+        ..asked
+    };
+    assert_ne!(chosen(&asked).as_deref(), Some(first[0].as_str()));
+}
+
+#[test]
+fn when_all_are_full_the_request_is_refused_with_a_time() {
+    let fleet = fleet(6);
+    for server in fleet.of_service("desk") {
+        server.on_load(
+            ServerLoad {
+                running: 3,
+                waiting: 30,
+                slots: 3,
+            },
+            Moment(0),
+        );
+    }
+    let none = BTreeSet::new();
+    for object in [Some(3), None] {
+        let asked = Asked {
+            fleet: &fleet,
+            object,
+            homes: &[],
+            evacuated: &none,
+            tried: &[],
+        };
+        match choose(&asked) {
+            ServerChoice::Refuse {
+                reason,
+                come_back_ms,
+            } => {
+                assert_eq!(reason, NoServer::AllFull);
+                assert!((50..=150).contains(&come_back_ms), "{come_back_ms}");
+            }
+            ServerChoice::Offer(server) => panic!("offered to {}", server.id),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(13), ..ProptestConfig::default() })]
+
+    /// An object moves only if its own server leaves, and then to its next in rank.
+    #[test]
+    fn other_servers_coming_and_going_moves_no_object(object in any::<u64>(), gone in 0_usize..24) {
+        let whole = fleet(24);
+        let none = BTreeSet::new();
+        let asked = Asked { fleet: &whole, object: Some(object), homes: &[], evacuated: &none, tried: &[] };
+        let first = chosen(&asked).expect("a server");
+        let leaver = [format!("i-{gone:03}")];
+        let after = chosen(&Asked { tried: &leaver, ..asked }).expect("a server");
+        if leaver[0] != first {
+            prop_assert_eq!(after, first);
+        }
+    }
+
+    /// The plain version of the choice on idle servers: the lowest of all ranks. Compared by
+    /// leaving out what was chosen before: that gives the same order as a full sort would.
+    #[test]
+    fn servers_are_tried_in_one_order(object in any::<u64>()) {
+        let whole = fleet(9);
+        let none = BTreeSet::new();
+        let mut tried: Vec<String> = Vec::new();
+        for _ in 0..9 {
+            let asked = Asked { fleet: &whole, object: Some(object), homes: &[], evacuated: &none, tried: &tried };
+            let next = chosen(&asked).expect("a server");
+            prop_assert!(!tried.contains(&next));
+            tried.push(next);
+        }
+        prop_assert!(tried.len() >= RANK_DEPTH);
+    }
+}
--- /dev/null
+++ b/tests/entry_fleet.rs
@@ -0,0 +1,342 @@
+//! What an entry host believes of servers and other hosts, under any order of news.
+
+use ledgespool::entry::budget::{ColdShare, RetryShare, RetryWindow};
+use ledgespool::entry::fleet::{Fleet, FleetChange, LAPSE_GRACE_MS};
+use ledgespool::entry::peer_message::{PeerHeartbeat, WatchState};
+use ledgespool::entry::peers::{HostRecord, PeerChange, PeerTable, SILENT_MS, WATCHERS};
+use ledgespool::entry::server::{ServerLoad, ServerRecord, ServerState};
+use ledgespool::entry::settings::HallMap;
+use ledgespool::entry::store::{ObjectChange, ObjectContent, StoredObject};
+use ledgespool::timer::Moment;
+use proptest::prelude::*;
+
+fn halls() -> HallMap {
+    let halls = [("east", "one"), ("far", "two")];
+    halls
+        .map(|(hall, region)| (hall.to_owned(), region.to_owned()))
+        .into_iter()
+        .collect()
+}
+
+fn record(id: &str, state: ServerState, cold_ms: u64) -> ServerRecord {
+    ServerRecord {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        hall: "east".to_owned(),
+        slots: 4,
+        state,
+        cold_ms,
+    }
+}
+
+fn object(id: &str, revision: u64) -> StoredObject {
+    StoredObject {
+        name: id.to_owned(),
+        revision,
+        content: ObjectContent::Server(record(id, ServerState::Ready, 0)),
+    }
+}
+
+fn change(object: StoredObject, deleted: bool) -> ObjectChange {
+    ObjectChange { object, deleted }
+}
+
+fn ids(fleet: &Fleet) -> Vec<String> {
+    fleet
+        .of_service("desk")
+        .iter()
+        .map(|server| server.id.clone())
+        .collect()
+}
+
+#[test]
+fn a_list_and_changes_make_the_fleet() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[object("a", 3), object("b", 4)], 5, &halls(), Moment(0));
+    assert_eq!(ids(&fleet), ["a", "b"]);
+    let mut draining = object("a", 6);
+    draining.content = ObjectContent::Server(record("a", ServerState::Draining, 0));
+    let changes = [
+        change(draining, false),
+        change(object("b", 4), true),
+        change(object("c", 8), false),
+    ];
+    let noted = fleet.on_changes(&changes, Some(8), &halls(), Moment(1));
+    assert_eq!(
+        noted,
+        [
+            FleetChange::Draining("a".to_owned()),
+            FleetChange::Gone("b".to_owned()),
+            FleetChange::Joined("c".to_owned()),
+        ]
+    );
+    assert_eq!(ids(&fleet), ["a", "c"]);
+    assert!(!fleet.of_service("desk")[0].takes_work());
+    assert_eq!((fleet.revision(), fleet.changed()), (8, 8));
+}
+
+#[test]
+fn a_deletion_counts_after_a_snapshot_although_it_names_the_old_revision() {
+    let mut fleet = Fleet::default();
+    // A snapshot at 20 holds a record that last changed at 3; the store shows its end with 3 too.
+    fleet.on_list(&[object("a", 3)], 20, &halls(), Moment(0));
+    fleet.on_changes(
+        &[change(object("a", 3), true)],
+        Some(25),
+        &halls(),
+        Moment(1),
+    );
+    assert!(ids(&fleet).is_empty());
+}
+
+#[test]
+fn a_change_from_before_the_list_brings_nothing_back() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[], 20, &halls(), Moment(0));
+    fleet.on_changes(
+        &[change(object("a", 7), false)],
+        Some(20),
+        &halls(),
+        Moment(1),
+    );
+    assert!(ids(&fleet).is_empty());
+}
+
+#[test]
+fn an_older_list_changes_nothing() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[object("a", 3)], 20, &halls(), Moment(0));
+    fleet.on_list(&[], 10, &halls(), Moment(1));
+    assert_eq!(ids(&fleet), ["a"]);
+}
+
+#[test]
+fn missing_entries_are_kept_for_a_moment_after_the_store_was_away() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[object("a", 3), object("b", 4)], 5, &halls(), Moment(0));
+    fleet.on_store_return(Moment(1_000));
+    let noted = fleet.on_list(&[], 9, &halls(), Moment(1_000));
+    assert_eq!(noted.len(), 2);
+    assert_eq!(ids(&fleet), ["a", "b"]);
+    // One is back in time, the other is gone.
+    fleet.on_changes(
+        &[change(object("a", 11), false)],
+        Some(11),
+        &halls(),
+        Moment(2_000),
+    );
+    assert!(fleet.on_tick(Moment(1_000 + LAPSE_GRACE_MS - 1)).is_empty());
+    let noted = fleet.on_tick(Moment(1_000 + LAPSE_GRACE_MS));
+    assert_eq!(noted, [FleetChange::Gone("b".to_owned())]);
+    assert_eq!(ids(&fleet), ["a"]);
+}
+
+#[test]
+fn failures_take_a_server_out_and_one_success_brings_it_back() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[object("a", 3)], 5, &halls(), Moment(0));
+    let server = &fleet.of_service("desk")[0];
+    assert!(!server.on_failure(Moment(0)) && !server.on_failure(Moment(0)));
+    assert!(server.on_failure(Moment(0)));
+    assert!(server.is_ejected(Moment(999)));
+    assert!(!server.is_ejected(Moment(1_000)));
+    server.begin();
+    assert!(
+        server.is_ejected(Moment(1_000)),
+        "one request at a time until one succeeds"
+    );
+    server.end();
+    assert!(
+        server.on_failure(Moment(1_000)),
+        "on trial one failure is enough"
+    );
+    assert!(server.is_ejected(Moment(2_999)), "and the time doubles");
+    server.on_success();
+    assert!(!server.is_ejected(Moment(1_001)));
+}
+
+#[test]
+fn the_load_of_others_fades_and_the_own_load_does_not() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[object("a", 3)], 5, &halls(), Moment(0));
+    let server = &fleet.of_service("desk")[0];
+    server.begin();
+    let load = ServerLoad {
+        running: 3,
+        waiting: 2,
+        slots: 4,
+    };
+    server.on_load(load, Moment(0));
+    assert!((server.expected_load(Moment(0)) - 5.0).abs() < 0.01);
+    let later = server.expected_load(Moment(10_000));
+    assert!((later - 1.0).abs() < 0.01, "{later}");
+}
+
+#[test]
+fn a_cold_time_that_is_told_counts_from_when_it_is_heard() {
+    let mut fleet = Fleet::default();
+    let mut cold = object("a", 3);
+    cold.content = ObjectContent::Server(record("a", ServerState::Ready, 2_000));
+    fleet.on_list(&[cold], 5, &halls(), Moment(100));
+    let server = &fleet.of_service("desk")[0];
+    assert!(server.is_cold(Moment(2_099)));
+    assert!(!server.is_cold(Moment(3_000)));
+}
+
+fn host(name: &str, region: &str, processor_milli: u32) -> HostRecord {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    HostRecord {
+        name: name.to_owned(),
+        run: 1,
+        hall: "east".to_owned(),
+        region: region.to_owned(),
+        caller_address: address,
+        peer_address: address,
+        heartbeat_address: address,
+        processor_milli,
+    }
+}
+
+fn heartbeat(record: &HostRecord, watch: WatchState) -> PeerHeartbeat {
+    PeerHeartbeat {
+        host: record.name.clone(),
+        run: record.run,
+        record: Some(record.clone()),
+        ready: true,
+        leaving: false,
+        watch,
+        configuration_version: 1,
+        fleet_changed: 1,
+        evacuation_changed: 0,
+        evacuated: Vec::new(),
+    }
+}
+
+#[test]
+fn a_host_is_named_while_it_is_heard_ready_and_stays() {
+    let mut peers = PeerTable::default();
+    let other = host("b", "one", 200);
+    assert!(peers.named_for("one", None, Moment(0)).is_empty());
+    peers.on_record(&other, Moment(0));
+    assert!(
+        peers.named_for("one", None, Moment(0)).is_empty(),
+        "known is not heard"
+    );
+    let beat = heartbeat(&other, WatchState::Idle);
+    assert_eq!(peers.on_heartbeat(&beat, Moment(0)), PeerChange::Heard);
+    assert_eq!(peers.named_for("one", None, Moment(SILENT_MS)).len(), 1);
+    assert!(
+        peers
+            .named_for("one", None, Moment(SILENT_MS + 1))
+            .is_empty()
+    );
+    let leaving = PeerHeartbeat {
+        leaving: true,
+        ..beat.clone()
+    };
+    assert_eq!(
+        peers.on_heartbeat(&leaving, Moment(10)),
+        PeerChange::Leaving
+    );
+    assert!(peers.named_for("one", None, Moment(10)).is_empty());
+    peers.on_heartbeat(&beat, Moment(11));
+    assert!(
+        peers.named_for("one", None, Moment(11)).is_empty(),
+        "a late datagram undoes nothing"
+    );
+    let again = HostRecord { run: 2, ..other };
+    peers.on_heartbeat(&heartbeat(&again, WatchState::Idle), Moment(12));
+    assert_eq!(
+        peers.named_for("one", None, Moment(12)).len(),
+        1,
+        "a new run may come"
+    );
+}
+
+#[test]
+fn the_next_in_order_watches_when_one_falls_silent_or_blind() {
+    let own = host("z", "one", 100);
+    let larger: Vec<HostRecord> = ["a", "b", "c"].map(|name| host(name, "one", 500)).to_vec();
+    let mut peers = PeerTable::default();
+    for other in &larger {
+        peers.on_heartbeat(&heartbeat(other, WatchState::Watching), Moment(0));
+    }
+    assert!(!peers.is_watcher(&own, Moment(0)));
+    for blind in &larger[..2] {
+        peers.on_heartbeat(&heartbeat(blind, WatchState::Blind), Moment(1));
+    }
+    assert!(
+        peers.is_watcher(&own, Moment(1)),
+        "one of three sees, {WATCHERS} must"
+    );
+    assert!(
+        peers.is_watcher(&own, Moment(SILENT_MS + 2)),
+        "all are silent"
+    );
+    let far = host("f", "two", 100);
+    assert!(peers.is_watcher(&far, Moment(1)), "each region has its own");
+}
+
+#[test]
+fn a_host_that_knows_few_counts_many() {
+    let mut peers = PeerTable::default();
+    assert!(
+        peers.host_count() >= 100,
+        "it may have just started among many"
+    );
+    peers.on_listed();
+    assert_eq!(peers.host_count(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 48, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    /// Whatever the number of hosts, all of them together stay under a cold server's limit.
+    #[test]
+    fn hosts_keep_a_cold_servers_limit_without_talk(hosts in 1_u32..300, limit in 4.0_f64..40.0, server in "[a-z0-9]{8}") {
+        let mut total = 0;
+        for number in 0..hosts {
+            // Each host has a fleet of its own and sends as fast as it may.
+            let mut fleet = Fleet::default();
+            fleet.on_list(&[object(&server, 1)], 1, &halls(), Moment(0));
+            let server = &fleet.of_service("desk")[0];
+            let hash = |number: u32| xxhash_rust::xxh3::xxh3_64(format!("host-{number}").as_bytes());
+            let others: Vec<u64> = (0..hosts).filter(|other| *other != number).map(hash).collect();
+            let share = ColdShare { all_per_s: limit, hosts, own_hash: hash(number), other_hashes: Some(others.into()) };
+            for _ in 0..100 {
+                if share.allows(server, Moment(500)) {
+                    server.on_cold_send(Moment(500));
+                    total += 1;
+                }
+            }
+        }
+        prop_assert!(f64::from(total) <= limit, "{total} of {limit} with {hosts} hosts");
+    }
+
+    /// In no window are there more repeats than the share allows.
+    #[test]
+    fn repeats_stay_within_the_share(events in prop::collection::vec((0_u64..400, any::<bool>()), 1..400), hosts in 1_u32..20) {
+        let share = RetryShare { ratio: 0.2, slack: 58.0, hosts };
+        let mut window = RetryWindow::with_length(10_000);
+        let mut now = 0;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (pause, repeat) in events {
+            now += pause;
+            if !repeat {
+                window.on_request(Moment(now));
+                requests.push(now);
+            } else if window.try_repeat(&share, Moment(now)) {
+                repeats.push(now);
+            }
+        }
+        for end in &repeats {
+            let inside = |at: &&u64| **at <= *end && **at + 10_000 > *end;
+            let near = |at: &&u64| **at <= *end && **at + 20_000 > *end;
+            let sent = repeats.iter().filter(inside).count() as f64;
+            let asked = requests.iter().filter(near).count() as f64;
+            prop_assert!(sent <= asked * 0.2 + 58.0 / f64::from(hosts));
+        }
+    }
+}
