--- a/src/bin/ledgespool/app.rs
+++ b/src/bin/ledgespool/app.rs
@@ -163,6 +163,18 @@
         #[bpaf(positional("CODE"))]
         code: Option<String>,
     },
+    /// Tell the story of one request from the logs of entry hosts
+    ///
+    /// Example: ledgespool explain-request 9c41d07be2a35f68 entry-1.log entry-2.log
+    #[bpaf(command("explain-request"))]
+    ExplainRequest {
+        /// The request's identity
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files of any hosts; standard input without one
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<path::PathBuf>,
+    },
     /// Print the schema of the operators' calls
     ///
     /// Example: ledgespool schema > schema/openrpc.json
--- a/src/bin/ledgespool/commands.rs
+++ b/src/bin/ledgespool/commands.rs
@@ -1,6 +1,7 @@
 //! Carries out the commands.
 
-use std::{net, path, time};
+use std::io::Read as _;
+use std::{fs, net, path, time};
 
 use ledgespool::config_object::{ConfigChange, ConfigObject};
 use ledgespool::control_message::HostStatus;
@@ -8,6 +9,7 @@
 use ledgespool::error::{self, Error};
 use ledgespool::event::EventCode;
 use ledgespool::member::HostState;
+use ledgespool::request_story::RequestStory;
 use ledgespool::result_code::ResultCode;
 use ledgespool::rpc::{ChangeParams, ChangeResult, NoParams, TimelineParams, method};
 use ledgespool::rpc_client::ControlClient;
@@ -97,6 +99,7 @@
             Ok(())
         }
         OperatorCommand::Explain { code, .. } => explain(code.as_deref()),
+        OperatorCommand::ExplainRequest { id, files } => explain_request(&id, &files),
         OperatorCommand::Schema => {
             println!("{}", openrpc::document_text());
             Ok(())
@@ -351,6 +354,26 @@
     }
 }
 
+fn explain_request(id: &str, files: &[path::PathBuf]) -> error::Result<()> {
+    let mut logs = String::new();
+    if files.is_empty() {
+        std::io::stdin().read_to_string(&mut logs)?;
+    }
+    for file in files {
+        let bytes = fs::read(file).map_err(|fault| {
+            Error::with_code(
+                ResultCode::FileUnreadable,
+                format!("{}: {fault}", file.display()),
+            )
+        })?;
+        logs.push_str(&String::from_utf8_lossy(&bytes));
+        logs.push('\n');
+    }
+    let lines = logs.lines().filter(|line| !line.is_empty());
+    println!("{}", RequestStory::from_lines(id, lines));
+    Ok(())
+}
+
 async fn show_timeline(options: &HostOptions, last: usize) -> error::Result<()> {
     let token = token(options)?;
     let first: HostStatus = client(options, CALL_LIMIT)?
--- /dev/null
+++ b/src/request_story.rs
@@ -0,0 +1,132 @@
+//! The story of one request, read back from the logs of all hosts.
+//!
+//! Lines of other programs, cut lines and lines behind a prefix are met in real logs; what cannot
+//! be read is counted and passed over.
+
+use std::fmt;
+
+use serde_json::{Map, Value};
+
+/// Lines about a server are part of a request's story if they lie this near to it, in
+/// milliseconds: the time in which a change reaches all hosts, and a little.
+const NEAR_MS: u64 = 5_000;
+/// Fields that stand in front of a line or are told by its order.
+const FRAME_FIELDS: [&str; 4] = ["unix_ms", "host", "event", "text"];
+
+/// One line of a log.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoryLine {
+    /// The host's clock, in Unix milliseconds.
+    pub unix_ms: u64,
+    /// The host that wrote it.
+    pub host: String,
+    /// The event's number, such as `EV5011`.
+    pub event: String,
+    /// What happened.
+    pub text: String,
+    /// The inputs that decided it.
+    pub fields: Map<String, Value>,
+}
+
+/// All lines that tell of one request.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct RequestStory {
+    /// The lines in their order.
+    pub lines: Vec<StoryLine>,
+    /// Lines that could not be read.
+    pub passed_over: usize,
+}
+
+impl RequestStory {
+    /// Reads the story of the request `id` from log lines of any number of hosts.
+    ///
+    /// ```
+    /// use ledgespool::request_story::RequestStory;
+    /// let logs = [
+    ///     r#"{"unix_ms":2,"host":"a","event":"EV5011","text":"It ended.","id":"r-1"}"#,
+    ///     "cut off {\"unix_ms\":",
+    ///     r#"0.5 a {"unix_ms":1,"host":"a","event":"EV5010","text":"It failed.","id":"r-1"}"#,
+    /// ];
+    /// let story = RequestStory::from_lines("r-1", logs);
+    /// assert_eq!(story.lines.len(), 2);
+    /// assert_eq!(story.lines[0].event, "EV5010");
+    /// assert_eq!(story.passed_over, 1);
+    /// ```
+    pub fn from_lines<'a>(id: &str, lines: impl IntoIterator<Item = &'a str>) -> Self {
+        let mut story = Self::default();
+        let mut others = Vec::new();
+        for text in lines {
+            match StoryLine::from_text(text) {
+                Some(line) if line.names("id", id) => story.lines.push(line),
+                Some(line) if line.fields.contains_key("server") => others.push(line),
+                Some(_) => {}
+                None => story.passed_over += 1,
+            }
+        }
+        let near: Vec<StoryLine> = others
+            .into_iter()
+            .filter(|line| !line.fields.contains_key("id") && story.concerns(line))
+            .collect();
+        story.lines.extend(near);
+        story
+            .lines
+            .sort_by(|a, b| (a.unix_ms, &a.host).cmp(&(b.unix_ms, &b.host)));
+        story
+    }
+
+    /// Whether a line tells of a server that the request was offered to, about that time.
+    fn concerns(&self, line: &StoryLine) -> bool {
+        self.lines.iter().any(|own| {
+            own.fields.get("server") == line.fields.get("server")
+                && own.host == line.host
+                && own.unix_ms.abs_diff(line.unix_ms) <= NEAR_MS
+        })
+    }
+}
+
+impl StoryLine {
+    fn from_text(text: &str) -> Option<Self> {
+        let start = text.find('{')?;
+        let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        let word = |name: &str| fields.get(name).and_then(Value::as_str).map(str::to_owned);
+        let (host, event, said) = (word("host")?, word("event")?, word("text")?);
+        let unix_ms = fields.get("unix_ms")?.as_u64()?;
+        for name in FRAME_FIELDS {
+            fields.remove(name);
+        }
+        Some(Self {
+            unix_ms,
+            host,
+            event,
+            text: said,
+            fields,
+        })
+    }
+
+    fn names(&self, field: &str, value: &str) -> bool {
+        self.fields.get(field).and_then(Value::as_str) == Some(value)
+    }
+}
+
+impl fmt::Display for RequestStory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let first = self.lines.first().map_or(0, |line| line.unix_ms);
+        for line in &self.lines {
+            let after = line.unix_ms - first;
+            writeln!(
+                f,
+                "{after:>8} ms  {}  {} {}",
+                line.host, line.event, line.text
+            )?;
+            for (name, value) in &line.fields {
+                writeln!(f, "             {name} = {value}")?;
+            }
+        }
+        write!(
+            f,
+            "{} lines; {} could not be read",
+            self.lines.len(),
+            self.passed_over
+        )
+    }
+}
--- /dev/null
+++ b/tests/request_story.rs
@@ -0,0 +1,60 @@
+//! The story of a request from logs as they come: mixed, cut, prefixed.
+
+use ledgespool::request_story::RequestStory;
+use proptest::prelude::*;
+
+fn line(unix_ms: u64, host: &str, event: &str, rest: &str) -> String {
+    format!(
+        r#"{{"unix_ms":{unix_ms},"host":"{host}","event":"{event}","text":"It happened.",{rest}}}"#
+    )
+}
+
+#[test]
+fn the_lines_of_a_request_and_of_its_servers_come_in_order() {
+    let logs = [
+        line(300, "b", "EV5011", r#""id":"r-1","reason":"lost""#),
+        line(100, "b", "EV5010", r#""id":"r-1","server":"i-7""#),
+        line(90, "b", "EV5001", r#""server":"i-7""#),
+        line(95, "a", "EV5001", r#""server":"i-7""#),
+        line(9_000, "b", "EV5005", r#""server":"i-7""#),
+        line(110, "b", "EV5010", r#""id":"r-2","server":"i-7""#),
+        line(120, "b", "EV5001", r#""server":"i-8""#),
+    ];
+    let story = RequestStory::from_lines("r-1", logs.iter().map(String::as_str));
+    let told: Vec<(u64, &str)> = story
+        .lines
+        .iter()
+        .map(|line| (line.unix_ms, line.event.as_str()))
+        .collect();
+    assert_eq!(told, [(90, "EV5001"), (100, "EV5010"), (300, "EV5011")]);
+    let text = story.to_string();
+    assert!(
+        text.contains("210 ms") && text.contains("reason = \"lost\""),
+        "{text}"
+    );
+}
+
+#[test]
+fn prefixes_are_skipped_and_cut_lines_counted() {
+    let whole = line(5, "a", "EV5011", r#""id":"r-1""#);
+    let prefixed = format!("   12.5 edge-1 {whole}");
+    let cut = &whole[..whole.len() - 4];
+    let story = RequestStory::from_lines("r-1", [prefixed.as_str(), cut, "no JSON", "{}"]);
+    assert_eq!((story.lines.len(), story.passed_over), (1, 3));
+}
+
+#[test]
+fn an_unknown_request_has_an_empty_story() {
+    let story = RequestStory::from_lines("r-9", []);
+    assert_eq!(story.to_string(), "0 lines; 0 could not be read");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_text_is_read_or_passed_over(lines in prop::collection::vec(".{0,80}", 0..20)) {
+        let story = RequestStory::from_lines("r", lines.iter().map(String::as_str));
+        prop_assert!(story.lines.len() + story.passed_over <= lines.len());
+    }
+}
