--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Default)]
 struct ServerView {
     draining: bool,
+    displaced: bool,
     gone: bool,
     gone_at: Option<Moment>,
     cold_until: Moment,
@@ -94,7 +95,7 @@
     #[must_use]
     pub fn takes_work(&self) -> bool {
         let view = self.view.borrow();
-        !view.draining && !view.gone
+        !view.draining && !view.gone && !view.displaced
     }
 
     /// Whether its incarnation has ended.
@@ -163,12 +164,30 @@
         view.ejected_until = None;
     }
 
-    /// A connection failed or an answer was lost; returns whether this takes it out of service.
+    /// An answer was lost or did not come in time; returns whether this takes it out of service.
+    /// Requests that were under way when it was taken out tell nothing new.
     pub fn on_failure(&self, now: Moment) -> bool {
+        self.fail(now, FAILURES_TO_EJECT)
+    }
+
+    /// No connection came up, which takes it out of service at once; returns whether it was in.
+    pub fn on_unreachable(&self, now: Moment) -> bool {
+        self.fail(now, 1)
+    }
+
+    /// Another incarnation has its address: it has ended, whatever the store still says.
+    pub fn on_displaced(&self) {
+        self.view.borrow_mut().displaced = true;
+    }
+
+    fn fail(&self, now: Moment, limit: u32) -> bool {
         let mut view = self.view.borrow_mut();
+        if view.ejected_until.is_some_and(|until| now < until) {
+            return false;
+        }
         view.failures += 1;
         let on_trial = view.ejected_until.is_some();
-        if view.failures < FAILURES_TO_EJECT && !on_trial {
+        if view.failures < limit && !on_trial {
             return false;
         }
         let doublings = view.ejections.min(MAX_EJECT_DOUBLINGS);
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -20,11 +20,11 @@
 /// Pause after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// A head must arrive within this time, counted from the end of the last request: longer than any
-/// rest that callers are allowed, which the configuration sets.
-const HEAD_LIMIT: time::Duration = time::Duration::from_secs(90);
-/// The largest head of a request, in bytes: that of usual configurations, and room for lines.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-const MAX_HEADERS: usize = 100;
+/// rest that callers are allowed, which the configuration sets (15 s in those in use).
+const HEAD_LIMIT: time::Duration = time::Duration::from_secs(300);
+/// The largest head of a request, in bytes: several times what usual configurations allow.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+const MAX_HEADERS: usize = 200;
 /// How long a look-up's answer holds: short, so that callers leave a stopping host soon.
 const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(2);
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -282,6 +282,9 @@
         let offered = exchange::offer(host, &server, &open.forward, left);
         let Ok(end) = tokio::time::timeout(left, offered).await else {
             note_offer(host, open, &server, "timed out");
+            let usual = host.usual_ms(&open.route.name, open.route.goal_ms);
+            server.on_pace(host.now().since(began) as f64 / usual);
+            note_failure(host, &server);
             return Err(RequestFailure::with_status(
                 http::StatusCode::GATEWAY_TIMEOUT,
                 RequestEnd::TimedOut,
@@ -300,7 +303,9 @@
             }
             OfferEnd::NotSent => {
                 note_offer(host, open, &server, "not reached");
-                note_failure(host, &server);
+                if server.on_unreachable(host.now()) {
+                    host.note(EventCode::ServerEjected, json!({ "server": server.id }));
+                }
                 continue;
             }
             OfferEnd::NotRun { status } => {
@@ -310,7 +315,7 @@
             }
             OfferEnd::OtherServer => {
                 note_offer(host, open, &server, "another server has the address");
-                note_failure(host, &server);
+                server.on_displaced();
                 last = Some(refused_by_server(host, open));
             }
             OfferEnd::Lost { reason } => {
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -154,6 +154,19 @@
     assert!(server.is_ejected(Moment(2_999)), "and the time doubles");
     server.on_success();
     assert!(!server.is_ejected(Moment(1_001)));
+    assert!(
+        server.on_unreachable(Moment(5_000)),
+        "no connection is enough at once"
+    );
+    for _ in 0..5 {
+        assert!(
+            !server.on_failure(Moment(5_100)),
+            "what was under way tells nothing new"
+        );
+    }
+    assert!(!server.is_ejected(Moment(6_000)));
+    server.on_displaced();
+    assert!(!server.takes_work());
 }
 
 #[test]
