--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -21,7 +21,7 @@
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 /// A head must arrive within this time, counted from the end of the last request: longer than any
 /// rest that callers are allowed, which the configuration sets (15 s in those in use).
-const HEAD_LIMIT: time::Duration = time::Duration::from_secs(300);
+const HEAD_LIMIT: time::Duration = time::Duration::from_mins(5);
 /// The largest head of a request, in bytes: several times what usual configurations allow.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 const MAX_HEADERS: usize = 200;
