--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -7,7 +7,7 @@
 use std::{collections, rc};
 
 use super::choice;
-use super::fleet::FleetServer;
+use super::fleet_server::FleetServer;
 use crate::timer::Moment;
 
 /// Of a shared limit, the part that the hosts plan with; the rest covers requests that are counted
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -16,7 +16,7 @@
 use rand::seq::IteratorRandom as _;
 
 use super::budget;
-use super::fleet::FleetServer;
+use super::fleet_server::FleetServer;
 use crate::timer::Moment;
 
 /// Servers in rank order that may get an object's requests. Further down the rank a request runs
--- /dev/null
+++ b/src/entry/fleet_server.rs
@@ -0,0 +1,290 @@
+//! One backend server as this host sees it: what the store says of it, and what own requests have
+//! shown of its load and pace.
+
+use std::{cell, collections, net};
+
+use xxhash_rust::xxh3;
+
+use super::server::{ServerLoad, ServerRecord, ServerState};
+use crate::timer::Moment;
+
+/// What other hosts had running when a server told its load counts for less with age; after this
+/// time, in milliseconds, for about a third. About two answers of a busy server.
+const TOLD_DECAY_MS: f64 = 800.0;
+/// Weight of the newest answer in the moving average of the pace; a share. About the last seven
+/// answers count.
+const AVERAGE_WEIGHT: f64 = 0.15;
+/// Failures in a row that take a server out of service.
+const FAILURES_TO_EJECT: u32 = 3;
+/// The first time out of service, in milliseconds; each further one in a row doubles it.
+const EJECT_MS: u64 = 1_000;
+/// Doublings of that time, at most: a server that stays broken is tried every eight seconds.
+const MAX_EJECT_DOUBLINGS: u32 = 3;
+/// Objects that this host remembers to have sent to a server; servers remember about as many.
+const MAX_OBJECTS: usize = 64;
+/// Added to a told cold time, in milliseconds: the word takes about this long from the server to
+/// this host.
+const COLD_MARGIN_MS: u64 = 500;
+
+/// What own requests have shown of a server, and what it told with its answers.
+#[derive(Debug, Default)]
+struct ServerView {
+    draining: bool,
+    displaced: bool,
+    gone: bool,
+    gone_at: Option<Moment>,
+    cold_until: Moment,
+    in_flight: u32,
+    told: Option<ToldLoad>,
+    pace: Option<f64>,
+    failures: u32,
+    ejected_until: Option<Moment>,
+    ejections: u32,
+    cold_sends: collections::VecDeque<Moment>,
+    /// Hashes of the objects that this host lately sent there, the oldest first.
+    objects: collections::VecDeque<u64>,
+}
+
+/// A load that a server told, and how much of it was this host's.
+#[derive(Debug, Clone, Copy)]
+struct ToldLoad {
+    load: ServerLoad,
+    own: u32,
+    at: Moment,
+}
+
+/// One incarnation of a backend server.
+#[derive(Debug)]
+pub struct FleetServer {
+    /// Its identity.
+    pub id: String,
+    /// The service that it serves.
+    pub service: String,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// The hall that it stands in.
+    pub hall: String,
+    /// The region of that hall.
+    pub region: String,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// A hash of the identity, for ranking.
+    pub hash: u64,
+    view: cell::RefCell<ServerView>,
+}
+
+impl FleetServer {
+    pub(super) fn from_record(record: &ServerRecord, region: &str) -> Self {
+        Self {
+            id: record.id.clone(),
+            service: record.service.clone(),
+            address: record.address,
+            hall: record.hall.clone(),
+            region: region.to_owned(),
+            slots: record.slots.max(1),
+            hash: xxh3::xxh3_64(record.id.as_bytes()),
+            view: cell::RefCell::default(),
+        }
+    }
+
+    /// Whether it may get new work as far as the store says.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        let view = self.view.borrow();
+        !view.draining && !view.gone && !view.displaced
+    }
+
+    /// Whether its incarnation has ended.
+    #[must_use]
+    pub fn is_gone(&self) -> bool {
+        self.view.borrow().gone
+    }
+
+    /// Requests of this host at the server.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.view.borrow().in_flight
+    }
+
+    /// A request is sent to it.
+    pub fn begin(&self) {
+        self.view.borrow_mut().in_flight += 1;
+    }
+
+    /// A request has left it, however it ended.
+    pub fn end(&self) {
+        let mut view = self.view.borrow_mut();
+        view.in_flight = view.in_flight.saturating_sub(1);
+    }
+
+    /// It told its load with an answer. Call after [`Self::end`] of that answer's request.
+    pub fn on_load(&self, load: ServerLoad, now: Moment) {
+        let mut view = self.view.borrow_mut();
+        let own = view.in_flight;
+        view.told = Some(ToldLoad { load, own, at: now });
+    }
+
+    /// Whether this host lately sent requests about `object` there.
+    #[must_use]
+    pub fn knows_object(&self, object: u64) -> bool {
+        self.view.borrow().objects.contains(&object)
+    }
+
+    /// Whether this host lately sent requests about `object` there, so that the server probably
+    /// works faster on it. Notes that one more was sent.
+    pub fn remember_object(&self, object: u64) -> bool {
+        let mut view = self.view.borrow_mut();
+        let known = view.objects.iter().rposition(|known| *known == object);
+        if let Some(place) = known {
+            view.objects.remove(place);
+        }
+        view.objects.push_back(object);
+        if view.objects.len() > MAX_OBJECTS {
+            view.objects.pop_front();
+        }
+        known.is_some()
+    }
+
+    /// It answered in `share` of the time that such a request usually takes.
+    pub fn on_pace(&self, share: f64) {
+        let mut view = self.view.borrow_mut();
+        let before = view.pace.unwrap_or(1.0);
+        view.pace = Some(before + AVERAGE_WEIGHT * (share - before));
+    }
+
+    /// It answered.
+    pub fn on_success(&self) {
+        let mut view = self.view.borrow_mut();
+        view.failures = 0;
+        view.ejections = 0;
+        view.ejected_until = None;
+    }
+
+    /// An answer was lost or did not come in time; returns whether this takes it out of service.
+    /// Requests that were under way when it was taken out tell nothing new.
+    pub fn on_failure(&self, now: Moment) -> bool {
+        self.fail(now, FAILURES_TO_EJECT)
+    }
+
+    /// No connection came up, which takes it out of service at once; returns whether it was in.
+    pub fn on_unreachable(&self, now: Moment) -> bool {
+        self.fail(now, 1)
+    }
+
+    /// Another incarnation has its address: it has ended, whatever the store still says.
+    pub fn on_displaced(&self) {
+        self.view.borrow_mut().displaced = true;
+    }
+
+    fn fail(&self, now: Moment, limit: u32) -> bool {
+        let mut view = self.view.borrow_mut();
+        if view.ejected_until.is_some_and(|until| now < until) {
+            return false;
+        }
+        view.failures += 1;
+        let on_trial = view.ejected_until.is_some();
+        if view.failures < limit && !on_trial {
+            return false;
+        }
+        let doublings = view.ejections.min(MAX_EJECT_DOUBLINGS);
+        view.ejected_until = Some(now.plus(EJECT_MS << doublings));
+        view.ejections += 1;
+        view.failures = 0;
+        true
+    }
+
+    /// Whether it is out of service after failures. When its time is over it gets one request at
+    /// a time until one succeeds.
+    #[must_use]
+    pub fn is_ejected(&self, now: Moment) -> bool {
+        let view = self.view.borrow();
+        view.ejected_until
+            .is_some_and(|until| now < until || view.in_flight > 0)
+    }
+
+    /// Requests that are probably at the server now: own ones, and what others had when it last
+    /// told, fading with age.
+    #[must_use]
+    pub fn expected_load(&self, now: Moment) -> f64 {
+        let view = self.view.borrow();
+        let others = view.told.map_or(0.0, |told| {
+            let all = told.load.running + told.load.waiting;
+            let others = f64::from(all.saturating_sub(told.own));
+            others * (-(now.since(told.at) as f64) / TOLD_DECAY_MS).exp()
+        });
+        f64::from(view.in_flight) + others
+    }
+
+    /// How long it takes, as a multiple of what is usual.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        self.view.borrow().pace.unwrap_or(1.0)
+    }
+
+    /// Whether it is slow from a start.
+    #[must_use]
+    pub fn is_cold(&self, now: Moment) -> bool {
+        now < self.view.borrow().cold_until
+    }
+
+    /// It stays slow until then.
+    pub fn set_cold_until(&self, until: Moment) {
+        self.view.borrow_mut().cold_until = until;
+    }
+
+    /// Requests sent to it while cold within the last `window_ms`.
+    #[must_use]
+    pub fn cold_sends(&self, now: Moment, window_ms: u64) -> usize {
+        let mut view = self.view.borrow_mut();
+        while view
+            .cold_sends
+            .front()
+            .is_some_and(|sent| now.since(*sent) > window_ms)
+        {
+            view.cold_sends.pop_front();
+        }
+        view.cold_sends.len()
+    }
+
+    /// A request is sent to it while it is cold.
+    pub fn on_cold_send(&self, now: Moment) {
+        self.view.borrow_mut().cold_sends.push_back(now);
+    }
+
+    /// Takes over what the store says; the entry is there.
+    pub(super) fn update(&self, record: &ServerRecord, now: Moment) {
+        let mut view = self.view.borrow_mut();
+        view.draining = record.state == ServerState::Draining;
+        view.gone_at = None;
+        view.cold_until = match record.cold_ms {
+            0 => Moment(0),
+            cold_ms => now.plus(cold_ms + COLD_MARGIN_MS),
+        };
+    }
+
+    /// Its entry stands in the store, unchanged.
+    pub(super) fn on_present(&self) {
+        self.view.borrow_mut().gone_at = None;
+    }
+
+    /// Its entry went missing and has perhaps only lapsed: it is kept until `until`. Returns
+    /// whether it was not yet missing.
+    pub(super) fn on_missing(&self, until: Moment) -> bool {
+        let mut view = self.view.borrow_mut();
+        if view.gone_at.is_some() {
+            return false;
+        }
+        view.gone_at = Some(until);
+        true
+    }
+
+    /// Whether it was kept for a moment and that is over.
+    pub(super) fn has_lapsed(&self, now: Moment) -> bool {
+        self.view.borrow().gone_at.is_some_and(|at| at <= now)
+    }
+
+    /// Its incarnation has ended.
+    pub(super) fn on_gone(&self) {
+        self.view.borrow_mut().gone = true;
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 pub mod decision_log;
 pub mod exchange;
 pub mod fleet;
+pub mod fleet_server;
 pub mod follow;
 pub mod gossip;
 pub mod host;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -7,7 +7,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
-use super::fleet::FleetServer;
+use super::fleet_server::FleetServer;
 use crate::timer::Moment;
 
 /// A connection that has not come up by then is given up, and the server with it for now. Longer
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -13,7 +13,7 @@
 use super::configuration::{RequestKind, RouteRule};
 use super::decision_log::LineWeight;
 use super::exchange::{self, ForwardRequest, OfferEnd, ServerAnswer};
-use super::fleet::FleetServer;
+use super::fleet_server::FleetServer;
 use super::host::{AnswerSample, EntryHost};
 use super::metrics_page::RequestEnd;
 use super::pool::ServerSender;
