--- /dev/null
+++ b/src/entry/host_budget.rs
@@ -0,0 +1,62 @@
+//! A host's own parts of the [budgets](super::budget) that all hosts share.
+
+use xxhash_rust::xxh3;
+
+use super::budget::{ColdShare, RetryShare, RetryWindow};
+use super::host::EntryHost;
+use super::wire::WireProtocol;
+
+impl<W: WireProtocol> EntryHost<W> {
+    /// The part of a cold server's limit that is this host's.
+    #[must_use]
+    pub fn cold_share(&self, cold_per_s: f64) -> ColdShare {
+        let settings = self.settings();
+        ColdShare {
+            all_per_s: cold_per_s * settings.bounds.cold_factor + settings.bounds.cold_slack,
+            hosts: self.peers.borrow().host_count(),
+            own_hash: xxh3::xxh3_64(settings.name.as_bytes()),
+            other_hashes: self.peers.borrow().other_hashes(),
+        }
+    }
+
+    /// A request was offered to a server of `service` for the first time.
+    pub fn on_first_offer(&self, service: &str) {
+        let now = self.now();
+        self.with_retries(service, |window| window.on_request(now));
+    }
+
+    /// Takes one repeat from the budget of `service`.
+    pub fn try_repeat(&self, service: &str) -> bool {
+        let share = self.retry_share();
+        let now = self.now();
+        let allowed = self.with_retries(service, |window| window.try_repeat(&share, now));
+        let mut metrics = self.metrics.borrow_mut();
+        if allowed {
+            metrics.repeats += 1;
+        } else {
+            metrics.repeats_denied += 1;
+        }
+        allowed
+    }
+
+    fn retry_share(&self) -> RetryShare {
+        let bounds = self.settings().bounds;
+        RetryShare {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            hosts: self.peers.borrow().host_count(),
+        }
+    }
+
+    fn with_retries<T>(&self, service: &str, work: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let window_ms = self.settings().bounds.retry_window.as_millis() as u64;
+        let mut windows = self.retry_windows.borrow_mut();
+        if let Some(window) = windows.get_mut(service) {
+            return work(window);
+        }
+        let window = windows
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryWindow::with_length(window_ms));
+        work(window)
+    }
+}
--- /dev/null
+++ b/src/entry/lifecycle.rs
@@ -0,0 +1,127 @@
+//! The life of one entry host's process: start, regular work, signals, changed settings, end.
+
+use std::{net, path, rc, time};
+
+use serde_json::json;
+
+use super::decision_log::DecisionLog;
+use super::host::EntryHost;
+use super::settings::{self, EntrySettings};
+use super::store::ObjectStore;
+use super::wire::WireProtocol;
+use super::{follow, gossip, listen};
+use crate::error;
+use crate::event::EventCode;
+
+/// How often what is due is looked after: idle connections, lapsed entries, the log.
+const TICK: time::Duration = time::Duration::from_millis(100);
+/// How often the settings file is looked at, in ticks; it may change without a signal.
+const SETTINGS_TICKS: u64 = 20;
+
+/// Runs a host until the process is told to stop and its requests have ended.
+///
+/// # Errors
+/// `AddressInvalid` when a listener cannot be opened; I/O errors when signals or the log cannot
+/// be set up.
+pub async fn run<W, S, C>(
+    file: &path::Path,
+    settings: EntrySettings,
+    wire: W,
+    connect_store: C,
+) -> error::Result<()>
+where
+    W: WireProtocol,
+    S: ObjectStore,
+    C: FnOnce(net::SocketAddr) -> S,
+{
+    let (log, writer) = DecisionLog::start(&settings.name)?;
+    let store = rc::Rc::new(connect_store(settings.store_address));
+    let host = rc::Rc::new(EntryHost::new(settings, wire, log));
+    let signals = StopSignals::open()?;
+    let listeners = listen::HostListeners::open(&host.settings())?;
+    host.note(EventCode::ProcessStarted, json!({ "run": host.run }));
+    listeners.serve(&host);
+    gossip::spawn(&host)?;
+    follow::spawn(&host, &store);
+    look_after(&host, &store, file, signals).await;
+    host.note(
+        EventCode::ProcessStopped,
+        json!({ "open_requests": host.open_requests() }),
+    );
+    host.log.close();
+    // A writer that panicked has ended too.
+    let _outcome = writer.join();
+    Ok(())
+}
+
+/// The signals that concern a host.
+#[derive(Debug)]
+struct StopSignals {
+    terminate: tokio::signal::unix::Signal,
+    interrupt: tokio::signal::unix::Signal,
+    hang_up: tokio::signal::unix::Signal,
+}
+
+impl StopSignals {
+    fn open() -> std::io::Result<Self> {
+        use tokio::signal::unix::{SignalKind, signal};
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+async fn look_after<W: WireProtocol, S: ObjectStore>(
+    host: &rc::Rc<EntryHost<W>>,
+    store: &rc::Rc<S>,
+    file: &path::Path,
+    mut signals: StopSignals,
+) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut count = 0_u64;
+    loop {
+        tokio::select! {
+            _tick = ticks.tick() => {
+                host.on_tick();
+                count += 1;
+                if count.is_multiple_of(SETTINGS_TICKS) {
+                    reload_settings(host, file);
+                }
+                if host.may_stop() {
+                    return;
+                }
+            }
+            _signal = signals.hang_up.recv() => reload_settings(host, file),
+            _signal = signals.terminate.recv() => begin_leaving(host, store),
+            _signal = signals.interrupt.recv() => begin_leaving(host, store),
+        }
+    }
+}
+
+fn begin_leaving<W: WireProtocol, S: ObjectStore>(host: &rc::Rc<EntryHost<W>>, store: &rc::Rc<S>) {
+    if host.is_leaving() {
+        return;
+    }
+    host.on_leaving();
+    gossip::announce(host);
+    let store = rc::Rc::clone(store);
+    let name = host.settings().name.clone();
+    tokio::task::spawn_local(async move {
+        // If this fails, the others remove the entry when the host has been silent for a while.
+        let _removed = store.delete_host(&name, None).await;
+    });
+}
+
+fn reload_settings<W: WireProtocol>(host: &EntryHost<W>, file: &path::Path) {
+    match settings::from_file(file) {
+        Ok(settings) => host.install_settings(settings),
+        // What was in force stays so; the file is read again soon.
+        Err(fault) => host.note(
+            EventCode::SettingsRejected,
+            json!({ "code": fault.code().to_string(), "detail": fault.to_string() }),
+        ),
+    }
+}
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -11,11 +11,13 @@
 use tokio::net::TcpListener;
 
 use super::catch_up;
-use super::host::{self, EntryHost};
+use super::host::EntryHost;
 use super::request;
 use super::settings::EntrySettings;
 use super::wire::{HostCall, LookupQuestion, WireProtocol};
-use crate::error;
+use crate::error::{self, Error};
+use crate::listener;
+use crate::result_code::ResultCode;
 
 /// Pause after a failed accept, such as one for want of file descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
@@ -24,6 +26,7 @@
 const HEAD_LIMIT: time::Duration = time::Duration::from_mins(5);
 /// The largest head of a request, in bytes: several times what usual configurations allow.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// Headers of a request, at most: several times what usual callers send.
 const MAX_HEADERS: usize = 200;
 /// How long a look-up's answer holds: short, so that callers leave a stopping host soon.
 const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(2);
@@ -44,10 +47,10 @@
     /// `AddressInvalid` when one cannot be bound.
     pub fn open(settings: &EntrySettings) -> error::Result<Self> {
         Ok(Self {
-            callers: host::open_listener(settings.caller_address)?,
-            readiness: host::open_listener(settings.readiness_address)?,
-            lookups: host::open_listener(settings.lookup_address)?,
-            peers: host::open_listener(settings.peer_address)?,
+            callers: open_listener(settings.caller_address)?,
+            readiness: open_listener(settings.readiness_address)?,
+            lookups: open_listener(settings.lookup_address)?,
+            peers: open_listener(settings.peer_address)?,
         })
     }
 
@@ -60,6 +63,13 @@
     }
 }
 
+fn open_listener(address: net::SocketAddr) -> error::Result<TcpListener> {
+    let listener = listener::bind(address).map_err(|fault| {
+        Error::with_code(ResultCode::AddressInvalid, format!("{address}: {fault}"))
+    })?;
+    Ok(TcpListener::from_std(listener)?)
+}
+
 async fn accept<W, F>(
     listener: TcpListener,
     host: rc::Rc<EntryHost<W>>,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,10 @@
 //! other entry hosts. How bytes look on the wire is said by [`wire`]'s traits, which the
 //! `ledgespool-platform` crate implements; nothing here knows a platform's names.
 //!
+//! All of them share the state in [`host`], and [`lifecycle`] starts, runs and ends it. What a
+//! host does with one part of its state has a module of its own: [`evacuation`], [`route_times`],
+//! [`host_budget`], [`stop`], [`watch_role`], [`self_report`].
+//!
 //! One thread runs all of it: on the small hosts in question a second one costs memory and
 //! wake-ups and buys nothing (docs/design/platform.md).
 
@@ -17,19 +21,26 @@
 pub mod choice;
 pub mod configuration;
 pub mod decision_log;
+pub mod evacuation;
 pub mod exchange;
 pub mod fleet;
 pub mod fleet_server;
 pub mod follow;
 pub mod gossip;
 pub mod host;
+pub mod host_budget;
+pub mod lifecycle;
 pub mod listen;
 pub mod metrics_page;
 pub mod peer_message;
 pub mod peers;
 pub mod pool;
 pub mod request;
+pub mod route_times;
+pub mod self_report;
 pub mod server;
 pub mod settings;
+pub mod stop;
 pub mod store;
+pub mod watch_role;
 pub mod wire;
--- /dev/null
+++ b/src/entry/self_report.rs
@@ -0,0 +1,68 @@
+//! What a host tells other hosts of itself and of what it knows.
+
+use super::host::EntryHost;
+use super::peer_message::{PeerHeartbeat, PeerSnapshot};
+use super::peers::HostRecord;
+use super::wire::WireProtocol;
+
+impl<W: WireProtocol> EntryHost<W> {
+    /// This run of this host, for the others.
+    #[must_use]
+    pub fn record(&self) -> HostRecord {
+        let settings = self.settings();
+        let mut heartbeat_address = settings.peer_address;
+        heartbeat_address.set_port(settings.heartbeat_port);
+        HostRecord {
+            name: settings.name.clone(),
+            run: self.run,
+            hall: settings.hall.clone(),
+            region: settings.region.clone(),
+            caller_address: settings.caller_address,
+            peer_address: settings.peer_address,
+            heartbeat_address,
+            // The share of a core is checked to be small.
+            processor_milli: (settings.processor_share * 1_000.0) as u32,
+        }
+    }
+
+    /// What the other hosts are told; `whole` adds the host's record.
+    #[must_use]
+    pub fn heartbeat(&self, whole: bool) -> PeerHeartbeat {
+        let evacuations = self.evacuations.borrow();
+        PeerHeartbeat {
+            host: self.settings().name.clone(),
+            run: self.run,
+            record: whole.then(|| self.record()),
+            ready: self.is_ready(),
+            leaving: self.is_leaving(),
+            watch: self.watch.get(),
+            configuration_version: self.configuration_version(),
+            fleet_changed: self.fleet.borrow().changed(),
+            evacuation_changed: evacuations.changed(),
+            evacuated: evacuations.halls().iter().cloned().collect(),
+        }
+    }
+
+    /// All that another host may want to know.
+    #[must_use]
+    pub fn snapshot(&self) -> PeerSnapshot {
+        let fleet = self.fleet.borrow();
+        let routes = self.routes();
+        let evacuations = self.evacuations.borrow();
+        let mut hosts: Vec<_> = self.peers.borrow().records().cloned().collect();
+        hosts.push(self.record());
+        PeerSnapshot {
+            configuration: routes.map(|routes| routes.configuration().clone()),
+            servers: fleet.objects().collect(),
+            fleet_revision: if fleet.is_listed() {
+                fleet.revision()
+            } else {
+                0
+            },
+            evacuated: evacuations.halls().iter().cloned().collect(),
+            evacuation_revision: evacuations.revision(),
+            hosts,
+            hosts_listed: self.peers.borrow().is_listed(),
+        }
+    }
+}
