--- a/src/entry/evacuation.rs
+++ b/src/entry/evacuation.rs
@@ -9,7 +9,7 @@
 use crate::event::EventCode;
 
 /// The servers of a hall that is taken back count as cold for this long, in milliseconds, beyond
-/// their service's warm-up: the word of the end may still be on its way from them and to others.
+/// their service's warm-up: the word that they turned cold may still be on its way.
 const WORD_MS: u64 = 2_500;
 
 /// Halls that get no work.
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -16,6 +16,7 @@
 use super::decision_log::{DecisionLog, LineWeight};
 use super::evacuation::EvacuationList;
 use super::fleet::{Fleet, FleetChange};
+use super::fleet_server::FleetServer;
 use super::gossip::PeerSocket;
 use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::peer_message::WatchState;
@@ -162,6 +163,24 @@
         !self.is_leaving() && self.routes.borrow().is_some() && self.fleet.borrow().is_listed()
     }
 
+    /// An answer of a server was lost or did not come in time.
+    pub fn on_server_failure(&self, server: &FleetServer) {
+        if server.on_failure(self.now()) {
+            self.note_ejected(server);
+        }
+    }
+
+    /// No connection to a server came up.
+    pub fn on_server_unreachable(&self, server: &FleetServer) {
+        if server.on_unreachable(self.now()) {
+            self.note_ejected(server);
+        }
+    }
+
+    fn note_ejected(&self, server: &FleetServer) {
+        self.note(EventCode::ServerEjected, json!({ "server": server.id }));
+    }
+
     /// The metrics page.
     #[must_use]
     pub fn metrics_page(&self) -> String {
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -26,7 +26,7 @@
 const HEAD_LIMIT: time::Duration = time::Duration::from_mins(5);
 /// The largest head of a request, in bytes: several times what usual configurations allow.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
-/// Headers of a request, at most: several times what usual callers send.
+/// Headers of a request, at most: twice what the HTTP library allows unasked.
 const MAX_HEADERS: usize = 200;
 /// How long a look-up's answer holds: short, so that callers leave a stopping host soon.
 const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(2);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,9 +1,10 @@
 //! The entry host behind a platform: callers in front, backend servers behind, an object store
 //! that tells of configuration and servers.
 //!
-//! The module tree is the path of a request. [`listen`] accepts it, [`request`] finds its
-//! [`configuration`] route and offers it to the backend servers that [`choice`] names from the
-//! [`fleet`], over the connections of [`pool`], within the limits of [`budget`]. [`follow`] keeps
+//! The module tree is the path of a request. [`listen`] accepts it, [`request`] serves it:
+//! `open_request` reads it and finds its [`configuration`] route, `offers` offers it to the backend
+//! servers that [`choice`] names from the [`fleet`], over the connections of [`pool`], within the
+//! limits of [`budget`]; `request_failure` says what else a caller may hear. [`follow`] keeps
 //! configuration and fleet up to date from an [`store::ObjectStore`], [`peers`] does the same from
 //! other entry hosts. How bytes look on the wire is said by [`wire`]'s traits, which the
 //! `ledgespool-platform` crate implements; nothing here knows a platform's names.
@@ -20,6 +21,7 @@
 pub mod catch_up;
 pub mod choice;
 pub mod configuration;
+mod connection_headers;
 pub mod decision_log;
 pub mod evacuation;
 pub mod exchange;
@@ -32,10 +34,13 @@
 pub mod lifecycle;
 pub mod listen;
 pub mod metrics_page;
+mod offers;
+mod open_request;
 pub mod peer_message;
 pub mod peers;
 pub mod pool;
 pub mod request;
+mod request_failure;
 pub mod route_times;
 pub mod self_report;
 pub mod server;
--- /dev/null
+++ b/src/entry/offers.rs
@@ -0,0 +1,255 @@
+//! Offers a caller's request to one backend server after the other, until one answers or nothing
+//! more may be tried.
+
+use std::{rc, time};
+
+use serde_json::json;
+
+use super::choice::{self, ChoiceQuery, ServerChoice};
+use super::configuration::RequestKind;
+use super::exchange::{self, OfferEnd, ServerAnswer};
+use super::fleet_server::FleetServer;
+use super::host::EntryHost;
+use super::open_request::OpenRequest;
+use super::request_failure::RequestFailure;
+use super::route_times::AnswerSample;
+use super::wire::WireProtocol;
+use crate::event::EventCode;
+use crate::timer::Moment;
+
+/// A request that was not sent for want of a connection may be offered to this many servers.
+const MAX_OFFERS: u32 = 4;
+/// With less time left than this a request is not offered: no answer would come back in time.
+const LEAST_TIME: time::Duration = time::Duration::from_millis(20);
+
+/// A request's answer and the server that gave it.
+#[derive(Debug)]
+pub(super) struct AnsweredRequest {
+    /// The server.
+    pub(super) server: rc::Rc<FleetServer>,
+    /// Its answer.
+    pub(super) answer: Box<ServerAnswer>,
+}
+
+/// Offers the request until a server answers or nothing more may be tried.
+pub(super) async fn run<W: WireProtocol>(
+    host: &EntryHost<W>,
+    open: &OpenRequest,
+) -> Result<AnsweredRequest, RequestFailure> {
+    let mut series = OfferSeries {
+        host,
+        open,
+        tried: Vec::new(),
+        sent: 0,
+        last: None,
+    };
+    for _ in 0..MAX_OFFERS {
+        let Some((server, time_left)) = series.next_server()? else {
+            break;
+        };
+        if let Some(answered) = series.offer(server, time_left).await? {
+            return Ok(answered);
+        }
+        if series.sent >= open.route.attempts.max(1) {
+            break;
+        }
+    }
+    Err(series.last.unwrap_or_else(|| series.not_run()))
+}
+
+/// The offers of one request so far.
+struct OfferSeries<'a, W> {
+    host: &'a EntryHost<W>,
+    open: &'a OpenRequest,
+    /// The servers that it was offered to.
+    tried: Vec<String>,
+    /// How often it was sent; an offer that found no connection is not counted.
+    sent: u32,
+    /// What came of the last time that it was sent.
+    last: Option<RequestFailure>,
+}
+
+impl<W: WireProtocol> OfferSeries<'_, W> {
+    /// The server for the next offer and the time left for it; `None` if there must be no more.
+    fn next_server(
+        &mut self,
+    ) -> Result<Option<(rc::Rc<FleetServer>, time::Duration)>, RequestFailure> {
+        let left_ms = self.open.deadline.since(self.host.now());
+        let time_left = time::Duration::from_millis(left_ms);
+        if time_left < LEAST_TIME {
+            return Ok(None);
+        }
+        let chosen = self.choose();
+        // What a server has shown says more than that no other is left.
+        let server = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
+        if !self.is_within_budget() {
+            return Ok(None);
+        }
+        self.tried.push(server.id.clone());
+        Ok(Some((server, time_left)))
+    }
+
+    fn choose(&self) -> Result<rc::Rc<FleetServer>, RequestFailure> {
+        let now = self.host.now();
+        match self.draw(now) {
+            ServerChoice::Offer(server) => {
+                if server.is_cold(now) {
+                    server.on_cold_send(now);
+                }
+                Ok(server)
+            }
+            ServerChoice::Refuse {
+                reason,
+                come_back_ms,
+            } => Err(RequestFailure::without_server(reason, come_back_ms)),
+        }
+    }
+
+    fn draw(&self, now: Moment) -> ServerChoice {
+        let host = self.host;
+        let open = self.open;
+        let route = &open.route;
+        let settings = host.settings();
+        let fleet = host.fleet.borrow();
+        let evacuated = host.evacuated_halls();
+        let goal_left_ms = route.goal_ms.saturating_sub(now.since(open.arrived));
+        let query = ChoiceQuery {
+            servers: fleet.of_service(&open.service),
+            object: open.object,
+            region: &settings.region,
+            homes: &route.homes,
+            evacuated: &evacuated,
+            tried: &self.tried,
+            near: route.kind == RequestKind::Download,
+            usual_ms: host.usual_ms(&route.name, route.goal_ms),
+            first_ms: host.first_ms(&route.name, route.goal_ms),
+            patience_ms: goal_left_ms as f64,
+            cold_share: host.cold_share(self.cold_per_s()),
+            now,
+        };
+        choice::choose(&query, &mut host.random.borrow_mut())
+    }
+
+    fn cold_per_s(&self) -> f64 {
+        let routes = self.host.routes();
+        let rule = routes
+            .as_ref()
+            .and_then(|routes| routes.service(&self.open.service));
+        rule.map_or(0.0, |rule| rule.cold_per_s)
+    }
+
+    /// Counts the offer that comes; a repeat must be within the service's budget.
+    fn is_within_budget(&self) -> bool {
+        if self.sent > 0 {
+            return self.host.try_repeat(&self.open.service);
+        }
+        self.host.on_first_offer(&self.open.service);
+        true
+    }
+
+    /// Offers it once; `None` if another server may be tried.
+    async fn offer(
+        &mut self,
+        server: rc::Rc<FleetServer>,
+        time_left: time::Duration,
+    ) -> Result<Option<AnsweredRequest>, RequestFailure> {
+        let object = self.open.object;
+        let known_object = object.is_none_or(|object| server.remember_object(object));
+        let began = self.host.now();
+        let offered = exchange::offer(self.host, &server, &self.open.forward, time_left);
+        let Ok(end) = tokio::time::timeout(time_left, offered).await else {
+            return Err(self.on_timeout(&server, began));
+        };
+        match end {
+            OfferEnd::Answered(answer) => {
+                self.on_answer(&server, began, known_object);
+                return Ok(Some(AnsweredRequest { server, answer }));
+            }
+            OfferEnd::NotSent => self.on_not_sent(&server),
+            OfferEnd::NotRun { status } => self.on_not_run(&server, status),
+            OfferEnd::OtherServer => self.on_other_server(&server),
+            OfferEnd::Lost { reason } => self.on_lost(&server, reason)?,
+        }
+        Ok(None)
+    }
+
+    fn on_timeout(&self, server: &FleetServer, began: Moment) -> RequestFailure {
+        self.note_offer(server, "timed out");
+        let waited_ms = self.host.now().since(began) as f64;
+        server.on_pace(waited_ms / self.usual_ms());
+        self.host.on_server_failure(server);
+        RequestFailure::TIMED_OUT
+    }
+
+    fn on_answer(&self, server: &FleetServer, began: Moment, known_object: bool) {
+        let sample = AnswerSample {
+            route: &self.open.route.name,
+            millis: self.host.now().since(began),
+            known_object,
+        };
+        self.host.on_answer_time(server, &sample);
+    }
+
+    fn on_not_sent(&self, server: &FleetServer) {
+        self.note_offer(server, "not reached");
+        self.host.on_server_unreachable(server);
+    }
+
+    fn on_not_run(&mut self, server: &FleetServer, status: http::StatusCode) {
+        self.host.metrics.borrow_mut().shed += 1;
+        self.note_offer(server, status.as_str());
+        self.on_sent(self.not_run());
+    }
+
+    fn on_other_server(&mut self, server: &FleetServer) {
+        self.note_offer(server, "another server has the address");
+        server.on_displaced();
+        self.on_sent(self.not_run());
+    }
+
+    fn on_lost(
+        &mut self,
+        server: &FleetServer,
+        reason: &'static str,
+    ) -> Result<(), RequestFailure> {
+        self.note_offer(server, reason);
+        self.host.on_server_failure(server);
+        let failure = RequestFailure::lost(reason);
+        if !self.open.forward.may_repeat {
+            return Err(failure);
+        }
+        self.on_sent(failure);
+        Ok(())
+    }
+
+    const fn on_sent(&mut self, failure: RequestFailure) {
+        self.sent += 1;
+        self.last = Some(failure);
+    }
+
+    fn not_run(&self) -> RequestFailure {
+        RequestFailure::not_run(self.usual_ms() as u64)
+    }
+
+    fn usual_ms(&self) -> f64 {
+        let route = &self.open.route;
+        self.host.usual_ms(&route.name, route.goal_ms)
+    }
+
+    fn note_offer(&self, server: &FleetServer, result: &str) {
+        let host = self.host;
+        let open = self.open;
+        let fields = json!({
+            "id": open.forward.id,
+            "route": open.route.name,
+            "server": server.id,
+            "hall": server.hall,
+            "result": result,
+            "after_ms": host.now().since(open.arrived),
+            "version": host.configuration_version(),
+            "fleet_revision": host.fleet.borrow().revision(),
+            "expected_load": server.expected_load(host.now()),
+        });
+        host.note(EventCode::OfferFailed, fields);
+    }
+}
--- /dev/null
+++ b/src/entry/request_failure.rs
@@ -0,0 +1,100 @@
+//! Why a caller's request ends without a backend server's answer, and what the caller is told.
+
+use super::choice::NoServer;
+use super::metrics_page::RequestEnd;
+
+/// A host without a configuration asks callers to come back after this time, in milliseconds:
+/// about what it takes to read one from the store or another host.
+const NO_CONFIGURATION_MS: u64 = 300;
+/// A caller that a stopping host turns away finds another at once; in milliseconds.
+const LEAVING_COME_BACK_MS: u64 = 10;
+
+/// Why a request ends without a server's answer.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RequestFailure {
+    /// The status for the caller.
+    pub(super) status: http::StatusCode,
+    /// How it counts.
+    pub(super) end: RequestEnd,
+    /// When the caller should come back, if it should.
+    pub(super) come_back_ms: Option<u64>,
+    /// Why, for the log.
+    pub(super) reason: &'static str,
+}
+
+impl RequestFailure {
+    /// There is no configuration to serve by.
+    pub(super) const UNCONFIGURED: Self = Self::refused(
+        RequestEnd::RefusedUnconfigured,
+        NO_CONFIGURATION_MS,
+        "no configuration yet",
+    );
+    /// This host stops too soon.
+    pub(super) const LEAVING: Self = Self::refused(
+        RequestEnd::RefusedLeaving,
+        LEAVING_COME_BACK_MS,
+        "this host stops before the request's time is over",
+    );
+    /// No route fits.
+    pub(super) const NO_ROUTE: Self = Self::rejected(http::StatusCode::NOT_FOUND, "no route");
+    /// It was sent, and its time ran out.
+    pub(super) const TIMED_OUT: Self = Self::with_status(
+        http::StatusCode::GATEWAY_TIMEOUT,
+        RequestEnd::TimedOut,
+        "no answer in time",
+    );
+
+    /// It has not run and may come again.
+    const fn refused(end: RequestEnd, come_back_ms: u64, reason: &'static str) -> Self {
+        Self {
+            status: http::StatusCode::SERVICE_UNAVAILABLE,
+            end,
+            come_back_ms: Some(come_back_ms),
+            reason,
+        }
+    }
+
+    const fn with_status(status: http::StatusCode, end: RequestEnd, reason: &'static str) -> Self {
+        Self {
+            status,
+            end,
+            come_back_ms: None,
+            reason,
+        }
+    }
+
+    /// The request itself is at fault.
+    pub(super) const fn rejected(status: http::StatusCode, reason: &'static str) -> Self {
+        Self::with_status(status, RequestEnd::Rejected, reason)
+    }
+
+    /// It was sent, and no answer that can be trusted came.
+    pub(super) const fn lost(reason: &'static str) -> Self {
+        Self::with_status(http::StatusCode::BAD_GATEWAY, RequestEnd::Lost, reason)
+    }
+
+    /// The servers that were asked have not run it.
+    pub(super) const fn not_run(come_back_ms: u64) -> Self {
+        Self::refused(
+            RequestEnd::RefusedFull,
+            come_back_ms,
+            "no server that was asked ran it",
+        )
+    }
+
+    /// No server was asked.
+    pub(super) const fn without_server(reason: NoServer, come_back_ms: u64) -> Self {
+        match reason {
+            NoServer::AllFull => Self::refused(
+                RequestEnd::RefusedFull,
+                come_back_ms,
+                "every server would answer too late",
+            ),
+            NoServer::NoneFit => Self::refused(
+                RequestEnd::RefusedNoServer,
+                come_back_ms,
+                "no server may serve it now",
+            ),
+        }
+    }
+}
