--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -11,7 +11,7 @@
 use super::gossip;
 use super::host::EntryHost;
 use super::peer_message::{PeerHeartbeat, PeerSnapshot};
-use super::store::{ObjectContent, StoredObject};
+use super::store::StoredObject;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::http_client;
@@ -123,10 +123,7 @@
     match serde_json::from_slice(&answer.body) {
         Ok(value) => Some(value),
         Err(fault) => {
-            host.note(
-                EventCode::HeartbeatMalformed,
-                json!({ "source": source.to_string(), "fault": fault.to_string() }),
-            );
+            host.note_malformed(&source.to_string(), &fault);
             None
         }
     }
@@ -146,21 +143,8 @@
         host.install_configuration(configuration, &source);
     }
     if snapshot.fleet_revision > host.fleet.borrow().revision() {
-        let objects: Vec<StoredObject> = snapshot
-            .servers
-            .iter()
-            .map(|object| StoredObject {
-                name: object.record.id.clone(),
-                revision: object.revision,
-                content: ObjectContent::Server(object.record.clone()),
-            })
-            .collect();
-        let settings = host.settings();
-        let now = host.now();
-        let mut fleet = host.fleet.borrow_mut();
-        let changes = fleet.on_list(&objects, snapshot.fleet_revision, &settings.halls, now);
-        drop(fleet);
-        host.note_fleet(&changes, &source);
+        let objects: Vec<_> = snapshot.servers.iter().map(StoredObject::from).collect();
+        host.on_server_list(&objects, snapshot.fleet_revision, &source);
     }
     if snapshot.evacuation_revision > host.evacuation_revision() {
         let halls = snapshot.evacuated.iter().cloned().collect();
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -29,8 +29,9 @@
 const HOSTS_WAIT_MS: u64 = 25_000;
 /// A watch's answer may be this late.
 const WATCH_MARGIN: time::Duration = time::Duration::from_secs(1);
-/// The pause after a first failure; it doubles with each further one.
+/// The pause after a first failure, in milliseconds; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 100;
+/// The longest such pause, in milliseconds.
 const MAX_PAUSE_MS: u64 = 800;
 /// After a change the next watch begins this much later, in which others join it: servers and
 /// hosts that start together change one after the other.
@@ -207,29 +208,17 @@
         let doubled = FIRST_PAUSE_MS << self.failures.min(8);
         self.failures += 1;
         let longest = doubled.min(MAX_PAUSE_MS);
-        let millis = self
-            .host
-            .random
-            .borrow_mut()
-            .random_range(longest / 2..=longest);
-        tokio::time::sleep(time::Duration::from_millis(millis)).await;
+        pause_up_to(&self.host, longest).await;
     }
 
     fn apply_list(&self, objects: &[StoredObject], revision: u64) {
-        let now = self.host.now();
         match self.kind {
             ObjectKind::Configuration => {
                 for object in objects {
                     self.apply_configuration(object);
                 }
             }
-            ObjectKind::Servers => {
-                let settings = self.host.settings();
-                let mut fleet = self.host.fleet.borrow_mut();
-                let changes = fleet.on_list(objects, revision, &settings.halls, now);
-                drop(fleet);
-                self.host.note_fleet(&changes, "store");
-            }
+            ObjectKind::Servers => self.host.on_server_list(objects, revision, "store"),
             ObjectKind::Evacuations => {
                 let halls = objects.iter().map(|object| object.name.clone()).collect();
                 self.host.on_evacuation_list(halls, revision);
@@ -268,13 +257,11 @@
     }
 
     fn apply_servers(&self, batch: &ChangeBatch) {
-        let settings = self.host.settings();
+        let since = self.host.fleet.borrow().changed();
+        let revision = Some(batch.revision);
         let now = self.host.now();
-        let mut fleet = self.host.fleet.borrow_mut();
-        let since = fleet.changed();
-        let changes = fleet.on_changes(&batch.changes, Some(batch.revision), &settings.halls, now);
-        drop(fleet);
-        self.host.note_fleet(&changes, "store");
+        self.host
+            .on_server_changes(&batch.changes, revision, now, "store");
         gossip::pass_on_fleet(&self.host, since, batch.revision, &batch.changes);
     }
 
@@ -310,6 +297,15 @@
     }
 }
 
+/// Waits at least half of `longest_ms` and at most all of it, at random.
+async fn pause_up_to<W: WireProtocol>(host: &EntryHost<W>, longest_ms: u64) {
+    let millis = host
+        .random
+        .borrow_mut()
+        .random_range(longest_ms / 2..=longest_ms);
+    tokio::time::sleep(time::Duration::from_millis(millis)).await;
+}
+
 /// Writes this host's own entry, by which the others meet it.
 async fn register<W: WireProtocol, S: ObjectStore>(host: rc::Rc<EntryHost<W>>, store: rc::Rc<S>) {
     let mut pause_ms = FIRST_PAUSE_MS;
@@ -319,11 +315,7 @@
         if matches!(call.await, Ok(Ok(()))) {
             return;
         }
-        let millis = host
-            .random
-            .borrow_mut()
-            .random_range(pause_ms / 2..=pause_ms);
-        tokio::time::sleep(time::Duration::from_millis(millis)).await;
+        pause_up_to(&host, pause_ms).await;
         pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
     }
 }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -8,13 +8,12 @@
 use serde_json::json;
 use tokio::net::UdpSocket;
 
-use super::catch_up;
 use super::host::EntryHost;
 use super::peer_message::{FleetNews, HostNews, PeerHeartbeat, PeerMessage};
 use super::peers::{HostRecord, PeerChange};
-use super::server::ServerObject;
 use super::store::{ObjectChange, ObjectContent, StoredObject};
 use super::wire::WireProtocol;
+use super::{catch_up, news_part};
 use crate::error::{self, Error};
 use crate::event::EventCode;
 use crate::result_code::ResultCode;
@@ -24,10 +23,6 @@
 const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
 /// Every so many heartbeats carry the host's whole record.
 const RECORD_EVERY: u64 = 4;
-/// The largest datagram that fits into one packet of the usual networks, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
-/// Bytes of a part of news that are left for its frame.
-const FRAME_BYTES: usize = 300;
 /// Half-received news that are remembered.
 const MAX_PARTIAL: usize = 64;
 
@@ -82,18 +77,7 @@
     until: u64,
     changes: &[ObjectChange],
 ) {
-    let mut parts = vec![NewsPart::default()];
-    for change in changes {
-        let Some(item) = NewsItem::from_change(change) else {
-            continue;
-        };
-        if parts.last().is_some_and(|part| !part.has_room(&item)) {
-            parts.push(NewsPart::default());
-        }
-        if let Some(part) = parts.last_mut() {
-            part.push(item);
-        }
-    }
+    let parts = news_part::parts_of(changes);
     let hold_ms = host.fleet.borrow().lapse_hold_ms(host.now());
     let targets: Vec<_> = host.peers.borrow().all_targets().collect();
     let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
@@ -117,56 +101,6 @@
     send(host, &PeerMessage::Hosts(news), &targets);
 }
 
-enum NewsItem {
-    Changed(Box<ServerObject>, usize),
-    Gone(String),
-}
-
-impl NewsItem {
-    fn from_change(change: &ObjectChange) -> Option<Self> {
-        if change.deleted {
-            return Some(Self::Gone(change.object.name.clone()));
-        }
-        let ObjectContent::Server(record) = &change.object.content else {
-            return None;
-        };
-        let object = ServerObject {
-            record: record.clone(),
-            revision: change.object.revision,
-        };
-        let bytes = serde_json::to_vec(&object).map_or(0, |bytes| bytes.len());
-        Some(Self::Changed(Box::new(object), bytes))
-    }
-
-    const fn bytes(&self) -> usize {
-        match self {
-            Self::Changed(_, bytes) => *bytes + 1,
-            Self::Gone(id) => id.len() + 3,
-        }
-    }
-}
-
-#[derive(Default)]
-struct NewsPart {
-    changed: Vec<ServerObject>,
-    gone: Vec<String>,
-    bytes: usize,
-}
-
-impl NewsPart {
-    const fn has_room(&self, item: &NewsItem) -> bool {
-        self.bytes + item.bytes() + FRAME_BYTES <= MAX_DATAGRAM_BYTES
-    }
-
-    fn push(&mut self, item: NewsItem) {
-        self.bytes += item.bytes();
-        match item {
-            NewsItem::Changed(object, _) => self.changed.push(*object),
-            NewsItem::Gone(id) => self.gone.push(id),
-        }
-    }
-}
-
 fn send<W: WireProtocol>(host: &EntryHost<W>, message: &PeerMessage, targets: &[net::SocketAddr]) {
     let Some(socket) = host.socket.socket.get() else {
         return;
@@ -178,10 +112,7 @@
                 let _sent = socket.try_send_to(&bytes, *target);
             }
         }
-        Err(fault) => host.note(
-            EventCode::HeartbeatMalformed,
-            json!({ "source": "self", "fault": fault.to_string() }),
-        ),
+        Err(fault) => host.note_malformed("self", &fault),
     }
 }
 
@@ -203,7 +134,7 @@
 }
 
 async fn receive<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, socket: rc::Rc<UdpSocket>) {
-    let mut buffer = vec![0_u8; 2 * MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0_u8; 2 * news_part::MAX_DATAGRAM_BYTES];
     loop {
         let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
             tokio::time::sleep(HEARTBEAT).await;
@@ -213,10 +144,7 @@
             Ok(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(&host, &heartbeat),
             Ok(PeerMessage::Fleet(news)) => on_fleet_news(&host, &news),
             Ok(PeerMessage::Hosts(news)) => on_host_news(&host, &news),
-            Err(fault) => host.note(
-                EventCode::HeartbeatMalformed,
-                json!({ "source": source.to_string(), "fault": fault.to_string() }),
-            ),
+            Err(fault) => host.note_malformed(&source.to_string(), &fault),
         }
     }
 }
@@ -244,12 +172,20 @@
 
 fn on_fleet_news<W: WireProtocol>(host: &EntryHost<W>, news: &FleetNews) {
     let now = host.now();
+    let whole = host.socket.is_whole(news);
+    let mut fleet = host.fleet.borrow_mut();
+    if news.hold_ms > 0 {
+        fleet.hold_lapses(news.hold_ms, now);
+    }
+    let contiguous = whole && fleet.is_listed() && news.since <= fleet.revision();
+    drop(fleet);
+    let revision = contiguous.then_some(news.until);
+    host.on_server_changes(&changes_of(news), revision, now, &news.host);
+}
+
+fn changes_of(news: &FleetNews) -> Vec<ObjectChange> {
     let changed = news.changed.iter().map(|object| ObjectChange {
-        object: StoredObject {
-            name: object.record.id.clone(),
-            revision: object.revision,
-            content: ObjectContent::Server(object.record.clone()),
-        },
+        object: StoredObject::from(object),
         deleted: false,
     });
     let gone = news.gone.iter().map(|id| ObjectChange {
@@ -260,18 +196,7 @@
         },
         deleted: true,
     });
-    let batch: Vec<_> = changed.chain(gone).collect();
-    let whole = host.socket.is_whole(news);
-    let settings = host.settings();
-    let mut fleet = host.fleet.borrow_mut();
-    if news.hold_ms > 0 {
-        fleet.hold_lapses(news.hold_ms, now);
-    }
-    let contiguous = whole && fleet.is_listed() && news.since <= fleet.revision();
-    let revision = contiguous.then_some(news.until);
-    let noted = fleet.on_changes(&batch, revision, &settings.halls, now);
-    drop(fleet);
-    host.note_fleet(&noted, &news.host);
+    changed.chain(gone).collect()
 }
 
 impl PeerSocket {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -1,7 +1,7 @@
 //! The state of one entry host, shared by the tasks of its one thread.
 //!
 //! What a host does with one part of its state stands with that part: [`super::evacuation`],
-//! [`super::route_times`], [`super::host_budget`], [`super::stop`], [`super::watch_role`] and
+//! [`super::route_times`], [`super::host_fleet`], [`super::host_budget`], [`super::stop`], [`super::watch_role`] and
 //! [`super::self_report`]; [`super::lifecycle`] runs it.
 
 use std::{cell, collections, rc};
@@ -15,8 +15,7 @@
 use super::configuration::{RouteTable, ServiceConfiguration};
 use super::decision_log::{DecisionLog, LineWeight};
 use super::evacuation::EvacuationList;
-use super::fleet::{Fleet, FleetChange};
-use super::fleet_server::FleetServer;
+use super::fleet::Fleet;
 use super::gossip::PeerSocket;
 use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::peer_message::WatchState;
@@ -138,47 +137,16 @@
         self.log.write(event, LineWeight::Important, fields);
     }
 
-    /// Writes what has changed in the fleet to the log.
-    pub fn note_fleet(&self, changes: &[FleetChange], source: &str) {
-        for change in changes {
-            let (event, server) = match change {
-                FleetChange::Joined(id) => (EventCode::ServerJoined, id),
-                FleetChange::Draining(id) => (EventCode::ServerLeaving, id),
-                FleetChange::Lapsed(id) => (EventCode::ServerLapsed, id),
-                FleetChange::Gone(id) => (EventCode::ServerGone, id),
-                FleetChange::Unreadable(reason) => (EventCode::ObjectUnreadable, reason),
-            };
-            let fields = json!({
-                "server": server,
-                "source": source,
-                "revision": self.fleet.borrow().revision(),
-            });
-            self.note(event, fields);
-        }
-    }
-
     /// Whether callers may be sent here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         !self.is_leaving() && self.routes.borrow().is_some() && self.fleet.borrow().is_listed()
     }
 
-    /// An answer of a server was lost or did not come in time.
-    pub fn on_server_failure(&self, server: &FleetServer) {
-        if server.on_failure(self.now()) {
-            self.note_ejected(server);
-        }
-    }
-
-    /// No connection to a server came up.
-    pub fn on_server_unreachable(&self, server: &FleetServer) {
-        if server.on_unreachable(self.now()) {
-            self.note_ejected(server);
-        }
-    }
-
-    fn note_ejected(&self, server: &FleetServer) {
-        self.note(EventCode::ServerEjected, json!({ "server": server.id }));
+    /// Writes that what another host said could not be understood.
+    pub fn note_malformed(&self, source: &str, fault: &serde_json::Error) {
+        let fields = json!({ "source": source, "fault": fault.to_string() });
+        self.note(EventCode::HeartbeatMalformed, fields);
     }
 
     /// The metrics page.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,7 +10,7 @@
 //! `ledgespool-platform` crate implements; nothing here knows a platform's names.
 //!
 //! All of them share the state in [`host`], and [`lifecycle`] starts, runs and ends it. What a
-//! host does with one part of its state has a module of its own: [`evacuation`], [`route_times`],
+//! host does with one part of its state has a module of its own: [`evacuation`], [`host_fleet`], [`route_times`],
 //! [`host_budget`], [`stop`], [`watch_role`], [`self_report`].
 //!
 //! One thread runs all of it: on the small hosts in question a second one costs memory and
@@ -31,9 +31,11 @@
 pub mod gossip;
 pub mod host;
 pub mod host_budget;
+pub mod host_fleet;
 pub mod lifecycle;
 pub mod listen;
 pub mod metrics_page;
+mod news_part;
 mod offers;
 mod open_request;
 pub mod peer_message;
--- /dev/null
+++ b/src/entry/news_part.rs
@@ -0,0 +1,79 @@
+//! News of servers, cut into parts that fit into one datagram each.
+
+use super::server::ServerObject;
+use super::store::{ObjectChange, ObjectContent};
+
+/// The largest datagram that fits into one packet of the usual networks, in bytes.
+pub(super) const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Bytes of a part of news that are left for its frame.
+const FRAME_BYTES: usize = 300;
+
+/// Cuts changes into parts, in their order; one empty part if there is nothing to tell.
+pub(super) fn parts_of(changes: &[ObjectChange]) -> Vec<NewsPart> {
+    let mut parts = vec![NewsPart::default()];
+    for item in changes.iter().filter_map(NewsItem::from_change) {
+        if parts.last().is_some_and(|part| !part.has_room(&item)) {
+            parts.push(NewsPart::default());
+        }
+        if let Some(part) = parts.last_mut() {
+            part.push(item);
+        }
+    }
+    parts
+}
+
+/// One server in the news.
+enum NewsItem {
+    /// It came or changed; with its length in bytes as it is sent.
+    Changed(Box<ServerObject>, usize),
+    /// It is gone; its identity.
+    Gone(String),
+}
+
+impl NewsItem {
+    fn from_change(change: &ObjectChange) -> Option<Self> {
+        if change.deleted {
+            return Some(Self::Gone(change.object.name.clone()));
+        }
+        let ObjectContent::Server(record) = &change.object.content else {
+            return None;
+        };
+        let object = ServerObject {
+            record: record.clone(),
+            revision: change.object.revision,
+        };
+        let bytes = serde_json::to_vec(&object).map_or(0, |bytes| bytes.len());
+        Some(Self::Changed(Box::new(object), bytes))
+    }
+
+    const fn bytes(&self) -> usize {
+        match self {
+            Self::Changed(_, bytes) => *bytes + 1,
+            Self::Gone(id) => id.len() + 3,
+        }
+    }
+}
+
+/// The servers that one datagram tells of.
+#[derive(Default)]
+pub(super) struct NewsPart {
+    /// Servers that came or changed.
+    pub(super) changed: Vec<ServerObject>,
+    /// The identities of those that are gone.
+    pub(super) gone: Vec<String>,
+    bytes: usize,
+}
+
+impl NewsPart {
+    const fn has_room(&self, item: &NewsItem) -> bool {
+        self.bytes + item.bytes() + FRAME_BYTES <= MAX_DATAGRAM_BYTES
+    }
+
+    fn push(&mut self, item: NewsItem) {
+        self.bytes += item.bytes();
+        match item {
+            NewsItem::Changed(object, _) => self.changed.push(*object),
+            NewsItem::Gone(id) => self.gone.push(id),
+        }
+    }
+}
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -2,7 +2,7 @@
 
 use super::configuration::ServiceConfiguration;
 use super::peers::HostRecord;
-use super::server::ServerRecord;
+use super::server::{ServerObject, ServerRecord};
 
 /// The kinds of object that an entry host follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -64,6 +64,16 @@
     pub content: ObjectContent,
 }
 
+impl From<&ServerObject> for StoredObject {
+    fn from(object: &ServerObject) -> Self {
+        Self {
+            name: object.record.id.clone(),
+            revision: object.revision,
+            content: ObjectContent::Server(object.record.clone()),
+        }
+    }
+}
+
 /// One page of a list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ObjectPage {
