--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -256,14 +256,24 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(13), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(13),
+        ..ProptestConfig::default()
+    })]
 
     /// An object moves only if its own server leaves, and then to its next in rank.
     #[test]
     fn other_servers_coming_and_going_moves_no_object(object in any::<u64>(), gone in 0_usize..24) {
         let whole = fleet(24);
         let none = BTreeSet::new();
-        let asked = Asked { fleet: &whole, object: Some(object), homes: &[], evacuated: &none, tried: &[] };
+        let asked = Asked {
+            fleet: &whole,
+            object: Some(object),
+            homes: &[],
+            evacuated: &none,
+            tried: &[],
+        };
         let first = chosen(&asked).expect("a server");
         let leaver = [format!("i-{gone:03}")];
         let after = chosen(&Asked { tried: &leaver, ..asked }).expect("a server");
@@ -280,7 +290,13 @@
         let none = BTreeSet::new();
         let mut tried: Vec<String> = Vec::new();
         for _ in 0..9 {
-            let asked = Asked { fleet: &whole, object: Some(object), homes: &[], evacuated: &none, tried: &tried };
+            let asked = Asked {
+                fleet: &whole,
+                object: Some(object),
+                homes: &[],
+                evacuated: &none,
+                tried: &tried,
+            };
             let next = chosen(&asked).expect("a server");
             prop_assert!(!tried.contains(&next));
             tried.push(next);
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -303,20 +303,36 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, cases: 48, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        cases: 48,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
 
     /// Whatever the number of hosts, all of them together stay under a cold server's limit.
     #[test]
-    fn hosts_keep_a_cold_servers_limit_without_talk(hosts in 1_u32..300, limit in 4.0_f64..40.0, server in "[a-z0-9]{8}") {
+    fn hosts_keep_a_cold_servers_limit_without_talk(
+        hosts in 1_u32..300,
+        limit in 4.0_f64..40.0,
+        server in "[a-z0-9]{8}",
+    ) {
         let mut total = 0;
         for number in 0..hosts {
             // Each host has a fleet of its own and sends as fast as it may.
             let mut fleet = Fleet::default();
             fleet.on_list(&[object(&server, 1)], 1, &halls(), Moment(0));
             let server = &fleet.of_service("desk")[0];
-            let hash = |number: u32| xxhash_rust::xxh3::xxh3_64(format!("host-{number}").as_bytes());
+            let hash = |number: u32| {
+                xxhash_rust::xxh3::xxh3_64(format!("host-{number}").as_bytes())
+            };
             let others: Vec<u64> = (0..hosts).filter(|other| *other != number).map(hash).collect();
-            let share = ColdShare { all_per_s: limit, hosts, own_hash: hash(number), other_hashes: Some(others.into()) };
+            let share = ColdShare {
+                all_per_s: limit,
+                hosts,
+                own_hash: hash(number),
+                other_hashes: Some(others.into()),
+            };
             for _ in 0..100 {
                 if share.allows(server, Moment(500)) {
                     server.on_cold_send(Moment(500));
@@ -329,7 +345,10 @@
 
     /// In no window are there more repeats than the share allows.
     #[test]
-    fn repeats_stay_within_the_share(events in prop::collection::vec((0_u64..400, any::<bool>()), 1..400), hosts in 1_u32..20) {
+    fn repeats_stay_within_the_share(
+        events in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
+        hosts in 1_u32..20,
+    ) {
         let share = RetryShare { ratio: 0.2, slack: 58.0, hosts };
         let mut window = RetryWindow::with_length(10_000);
         let mut now = 0;
--- a/tests/request_story.rs
+++ b/tests/request_story.rs
@@ -50,7 +50,11 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(17), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn any_text_is_read_or_passed_over(lines in prop::collection::vec(".{0,80}", 0..20)) {
