--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -13,7 +13,7 @@
 /// Of a shared limit, the part that the hosts plan with; the rest covers requests that are counted
 /// later than they were sent.
 const PLANNED_SHARE: f64 = 0.8;
-/// Requests on their way bunch up, so a second is counted a little longer.
+/// Requests on their way bunch up, so a second is counted a little longer; in milliseconds.
 const COLD_WINDOW_MS: u64 = 1_150;
 /// The retry window is counted in this many steps.
 const RETRY_STEPS: u64 = 20;
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -23,9 +23,10 @@
 /// of a slow store some hundred.
 const CALL_LIMIT: time::Duration = time::Duration::from_millis(1_500);
 /// A watch that has fallen silent is found out when this time is over, so it bounds how old the
-/// view can be. Each end costs a call.
+/// view can be; in milliseconds. Each end costs a call.
 const WATCH_WAIT_MS: u64 = 5_000;
-/// Hosts learn of each other by heartbeats as well, so their kind is watched with fewer calls.
+/// Hosts learn of each other by heartbeats as well, so their kind is watched with fewer calls; in
+/// milliseconds.
 const HOSTS_WAIT_MS: u64 = 25_000;
 /// A watch's answer may be this late.
 const WATCH_MARGIN: time::Duration = time::Duration::from_secs(1);
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -16,15 +16,16 @@
 /// Bytes that the peer does not confirm within this time break the connection: a host behind a cut
 /// says nothing.
 const UNCONFIRMED_LIMIT: time::Duration = time::Duration::from_millis(1_500);
-/// A quiet connection is probed after this time, then as often, and broken after two lost probes.
+/// A quiet connection is probed after this time, and then as often.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Lost probes that break it.
 const PROBES: u32 = 2;
-/// A connection is not used again this long before the server closes it.
+/// A connection is not used again this long before the server closes it, in milliseconds.
 const CLOSE_MARGIN_MS: u64 = 1_000;
 /// Assumed where a server does not tell how long a connection may rest, in milliseconds.
 const UNTOLD_KEEP_MS: u64 = 4_000;
-/// A request that must not run twice goes over a connection only if it rested less than this: a
-/// connection that breaks as it is used leaves open whether the request ran.
+/// A request that must not run twice goes over a connection only if it rested less than this, in
+/// milliseconds: a connection that breaks as it is used leaves open whether the request ran.
 const FRESH_MS: u64 = 2_000;
 /// The largest head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
