--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -9,7 +9,7 @@
 use super::settings::{self, EntrySettings};
 use super::store::ObjectStore;
 use super::wire::WireProtocol;
-use super::{follow, gossip, listen};
+use super::{follow, gossip, host_entries, listen};
 use crate::error;
 use crate::event::EventCode;
 
@@ -43,6 +43,7 @@
     listeners.serve(&host);
     gossip::spawn(&host)?;
     follow::spawn(&host, &store);
+    host_entries::spawn(&host, &store);
     look_after(&host, &store, file, signals).await;
     host.note(
         EventCode::ProcessStopped,
--- /dev/null
+++ b/src/entry/store_news.rs
@@ -0,0 +1,104 @@
+//! What a host does with what the store shows it.
+
+use serde_json::json;
+
+use super::gossip;
+use super::host::EntryHost;
+use super::peer_message::HostNews;
+use super::store::{ChangeBatch, ObjectContent, ObjectKind, StoredObject};
+use super::wire::WireProtocol;
+use crate::event::EventCode;
+
+/// Takes over a whole list of a kind, current up to `revision`.
+pub(super) fn on_list<W: WireProtocol>(
+    host: &EntryHost<W>,
+    kind: ObjectKind,
+    objects: &[StoredObject],
+    revision: u64,
+) {
+    match kind {
+        ObjectKind::Configuration => {
+            for object in objects {
+                on_configuration(host, object);
+            }
+        }
+        ObjectKind::Servers => host.on_server_list(objects, revision, "store"),
+        ObjectKind::Evacuations => {
+            let halls = objects.iter().map(|object| object.name.clone()).collect();
+            host.on_evacuation_list(halls, revision);
+        }
+        ObjectKind::Hosts => {
+            let records = objects.iter().filter_map(|object| match &object.content {
+                ObjectContent::Host(record) => Some(record.clone()),
+                _ => None,
+            });
+            let records: Vec<_> = records.collect();
+            gossip::learn_hosts(host, &records);
+            host.peers.borrow_mut().on_listed();
+        }
+    }
+}
+
+/// Takes over what a watch of a kind brought, and passes it on to the other hosts.
+pub(super) fn on_changes<W: WireProtocol>(
+    host: &EntryHost<W>,
+    kind: ObjectKind,
+    batch: &ChangeBatch,
+) {
+    match kind {
+        ObjectKind::Configuration => {
+            for change in batch.changes.iter().filter(|change| !change.deleted) {
+                on_configuration(host, &change.object);
+            }
+            gossip::announce(host);
+        }
+        ObjectKind::Servers => on_servers(host, batch),
+        ObjectKind::Evacuations => {
+            for change in &batch.changes {
+                let hall = &change.object.name;
+                host.on_evacuation_change(hall, change.deleted, batch.revision);
+            }
+            gossip::announce(host);
+        }
+        ObjectKind::Hosts => on_hosts(host, batch),
+    }
+}
+
+fn on_servers<W: WireProtocol>(host: &EntryHost<W>, batch: &ChangeBatch) {
+    let since = host.fleet.borrow().changed();
+    let revision = Some(batch.revision);
+    let now = host.now();
+    host.on_server_changes(&batch.changes, revision, now, "store");
+    gossip::pass_on_fleet(host, since, batch.revision, &batch.changes);
+}
+
+fn on_hosts<W: WireProtocol>(host: &EntryHost<W>, batch: &ChangeBatch) {
+    let mut news = HostNews {
+        joined: Vec::new(),
+        gone: Vec::new(),
+    };
+    for change in &batch.changes {
+        if change.deleted {
+            let mut peers = host.peers.borrow_mut();
+            peers.on_removed(&change.object.name);
+            news.gone.push(change.object.name.clone());
+        } else if let ObjectContent::Host(record) = &change.object.content {
+            news.joined.push(record.clone());
+        }
+    }
+    gossip::learn_hosts(host, &news.joined);
+    gossip::pass_on_hosts(host, news);
+}
+
+fn on_configuration<W: WireProtocol>(host: &EntryHost<W>, object: &StoredObject) {
+    match &object.content {
+        ObjectContent::Configuration(configuration) => {
+            host.install_configuration(configuration, "store");
+        }
+        ObjectContent::Unreadable(reason) => host.note(
+            EventCode::ConfigRejected,
+            json!({ "object": object.name, "reason": reason }),
+        ),
+        _ => {}
+    }
+}
