--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,13 +1,18 @@
 //! The entry host behind a platform: callers in front, backend servers behind, an object store
 //! that tells of configuration and servers.
 //!
-//! The module tree is the path of a request. [`listen`] accepts it, [`request`] finds its
-//! [`configuration`] route and offers it to the backend servers that [`choice`] names from the
-//! [`fleet`], over the connections of [`pool`], within the limits of [`budget`]. [`follow`] keeps
+//! The module tree is the path of a request. [`listen`] accepts it, [`request`] serves it:
+//! `open_request` reads it and finds its [`configuration`] route, `offers` offers it to the backend
+//! servers that [`choice`] names from the [`fleet`], over the connections of [`pool`], within the
+//! limits of [`budget`]; `request_failure` says what else a caller may hear. [`follow`] keeps
 //! configuration and fleet up to date from an [`store::ObjectStore`], [`peers`] does the same from
 //! other entry hosts. How bytes look on the wire is said by [`wire`]'s traits, which the
 //! `ledgespool-platform` crate implements; nothing here knows a platform's names.
 //!
+//! All of them share the state in [`host`], and [`lifecycle`] starts, runs and ends it. What a
+//! host does with one part of its state has a module of its own: [`evacuation`], [`host_fleet`], [`route_times`],
+//! [`host_budget`], [`stop`], [`watch_role`], [`self_report`].
+//!
 //! One thread runs all of it: on the small hosts in question a second one costs memory and
 //! wake-ups and buys nothing (docs/design/platform.md).
 
@@ -16,19 +21,35 @@
 pub mod catch_up;
 pub mod choice;
 pub mod configuration;
+mod connection_headers;
 pub mod decision_log;
+pub mod evacuation;
 pub mod exchange;
 pub mod fleet;
+pub mod fleet_server;
 pub mod follow;
 pub mod gossip;
 pub mod host;
+pub mod host_budget;
+mod host_entries;
+pub mod host_fleet;
+pub mod lifecycle;
 pub mod listen;
 pub mod metrics_page;
+mod news_part;
+mod offers;
+mod open_request;
 pub mod peer_message;
 pub mod peers;
 pub mod pool;
 pub mod request;
+mod request_failure;
+pub mod route_times;
+pub mod self_report;
 pub mod server;
 pub mod settings;
+pub mod stop;
 pub mod store;
+mod store_news;
+pub mod watch_role;
 pub mod wire;
