--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -255,8 +255,8 @@
             .collect()
     }
 
-    /// The hosts to name to a caller of `hall` in `region`: those that live, are ready and stay.
-    /// Its own region's, if there are any, else all.
+    /// The hosts to name to a caller in `region`: those that live, are ready and stay. Its own
+    /// region's, if there are any, else all.
     #[must_use]
     pub fn named_for(
         &self,
