--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -95,6 +95,7 @@
     request: &ForwardRequest,
     time_left: time::Duration,
 ) -> OfferEnd {
+    let began = host.now();
     let slot = HeldSlot::at(server);
     let must_be_fresh = !request.may_repeat;
     let kept = host
@@ -116,6 +117,8 @@
         host.metrics.borrow_mut().connect_failures += 1;
         return OfferEnd::NotSent;
     };
+    let connecting = time::Duration::from_millis(host.now().since(began));
+    let time_left = time_left.saturating_sub(connecting);
     let end = send(host, server, sender, request, time_left).await;
     drop(slot);
     end
@@ -148,16 +151,18 @@
             reason: "the answer belongs to another request",
         };
     }
+    let misdirected = head.status == http::StatusCode::MISDIRECTED_REQUEST;
+    if misdirected && told.server_id.is_some_and(|id| id != server.id) {
+        return OfferEnd::OtherServer;
+    }
     if let Some(load) = told.load {
         server.on_load(load, host.now());
     }
     if let Some(cold) = told.cold {
         server.set_cold_until(host.now().plus(cold.as_millis() as u64));
     }
-    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
-        return OfferEnd::OtherServer;
-    }
-    if told.not_run {
+    // 421 promises that the request has not run, whoever says so.
+    if told.not_run || misdirected {
         let status = head.status;
         keep_after(host, server, sender, &head, body).await;
         return OfferEnd::NotRun { status };
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -65,6 +65,7 @@
 
 impl<W: WireProtocol, S: ObjectStore> KindFollower<W, S> {
     async fn run(mut self) {
+        let mut must_list = false;
         let mut position = None;
         loop {
             if !self.is_due() {
@@ -73,16 +74,18 @@
                 tokio::time::sleep(ROLE_PAUSE).await;
                 continue;
             }
-            let result = match position.or_else(|| self.known_position()) {
+            let known = position.or_else(|| self.known_position());
+            let result = match known.filter(|_| !must_list) {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
             };
             match result {
-                Ok(revision) => position = Some(revision),
-                Err(StoreFault::HistoryGone) => {
-                    // What was known before is out of date as well.
-                    position = self.list().await.ok();
+                Ok(revision) => {
+                    position = Some(revision);
+                    must_list = false;
                 }
+                // What was known before is out of date as well.
+                Err(StoreFault::HistoryGone) => must_list = true,
                 Err(_) => self.pause().await,
             }
         }
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -41,6 +41,7 @@
         open,
         tried: Vec::new(),
         sent: 0,
+        counted: false,
         last: None,
     };
     for _ in 0..MAX_OFFERS {
@@ -65,6 +66,8 @@
     tried: Vec<String>,
     /// How often it was sent; an offer that found no connection is not counted.
     sent: u32,
+    /// Whether the request was counted for the repeat budget.
+    counted: bool,
     /// What came of the last time that it was sent.
     last: Option<RequestFailure>,
 }
@@ -139,11 +142,14 @@
     }
 
     /// Counts the offer that comes; a repeat must be within the service's budget.
-    fn is_within_budget(&self) -> bool {
+    fn is_within_budget(&mut self) -> bool {
         if self.sent > 0 {
             return self.host.try_repeat(&self.open.service);
         }
-        self.host.on_first_offer(&self.open.service);
+        if !self.counted {
+            self.counted = true;
+            self.host.on_first_offer(&self.open.service);
+        }
         true
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -19,6 +19,7 @@
 use super::request_failure::RequestFailure;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::result_code::CODE_HEADER;
 use crate::timer::Moment;
 
 /// A response to a caller.
@@ -74,6 +75,7 @@
             "route": route,
             "end": failure.end.as_str(),
             "status": failure.status.as_u16(),
+            "code": failure.code().to_string(),
             "reason": failure.reason,
             "come_back_ms": failure.come_back_ms,
             "after_ms": millis,
@@ -83,6 +85,9 @@
         host.note(EventCode::RequestFailed, fields);
         let mut response = http::Response::new(AnswerBody::whole(Bytes::new()));
         *response.status_mut() = failure.status;
+        if let Ok(code) = http::HeaderValue::from_str(&failure.code().to_string()) {
+            response.headers_mut().insert(CODE_HEADER, code);
+        }
         if let Some(come_back_ms) = failure.come_back_ms {
             let after = time::Duration::from_millis(come_back_ms);
             host.wire.write_come_back(response.headers_mut(), after);
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -2,6 +2,7 @@
 
 use super::choice::NoServer;
 use super::metrics_page::RequestEnd;
+use crate::result_code::ResultCode;
 
 /// A host without a configuration asks callers to come back after this time, in milliseconds:
 /// about what it takes to read one from the store or another host.
@@ -23,6 +24,23 @@
 }
 
 impl RequestFailure {
+    /// The numbered code that callers and logs get.
+    pub(super) const fn code(&self) -> ResultCode {
+        match (self.end, self.status) {
+            (RequestEnd::RefusedFull, _) => ResultCode::BudgetExhausted,
+            (RequestEnd::RefusedNoServer, _) => ResultCode::NoHealthyServer,
+            (RequestEnd::RefusedUnconfigured, _) => ResultCode::ConfigurationMissing,
+            (RequestEnd::RefusedLeaving, _) => ResultCode::HostLeaving,
+            (RequestEnd::Rejected, http::StatusCode::NOT_FOUND) => ResultCode::ServiceUnknown,
+            (RequestEnd::Rejected, http::StatusCode::PAYLOAD_TOO_LARGE) => ResultCode::BodyTooLarge,
+            (RequestEnd::Rejected, _) => ResultCode::BodyBroken,
+            (RequestEnd::TimedOut, _) => ResultCode::DeadlinePassed,
+            (RequestEnd::Lost | RequestEnd::CallerLeft | RequestEnd::Answered, _) => {
+                ResultCode::AnswerLost
+            }
+        }
+    }
+
     /// There is no configuration to serve by.
     pub(super) const UNCONFIGURED: Self = Self::refused(
         RequestEnd::RefusedUnconfigured,
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -32,6 +32,9 @@
     }
 }
 
+/// Carries the code of an answer that the entry host made itself.
+pub const CODE_HEADER: &str = "x-ledgespool-code";
+
 macro_rules! result_codes {
     ($($(#[$doc:meta])* $name:ident = $number:literal, $status:literal, $outcome:expr, $text:literal, $advice:literal;)+) => {
         /// One numbered result. The first digit names the area: 1 input files, 2 callers,
--- a/src/worker/answer.rs
+++ b/src/worker/answer.rs
@@ -10,7 +10,7 @@
 use super::forward::AnsweredRequest;
 use crate::result_code::{RequestOutcome, ResultCode};
 
-pub(super) const CODE_HEADER: &str = "x-ledgespool-code";
+pub(super) use crate::result_code::CODE_HEADER;
 pub(super) const OUTCOME_HEADER: &str = "x-ledgespool-outcome";
 pub(super) const REQUEST_HEADER: &str = "x-ledgespool-request-id";
 pub(super) const RETRY_HEADER: &str = "x-ledgespool-retry-after-ms";
