Log what was expected of the server that answered

Cause: an answered request's line did not say why its server was chosen or what was expected, so a late first run on an object and a late queue looked the same without a replay.

Change: the line carries the object's hash, the goal, the server's place in the rank, whether it was taken to know the object, the load and its age, the time expected for wait, work and way, the time taken and the offers before. No decision changes.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -80,11 +80,47 @@
     AllFull,
 }
 
+/// What a host expects of one server for one request, and what it bases that on.
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct ExpectedAnswer {
+    /// The server's place in the object's rank, from 0; on routes without objects, in the draw.
+    pub place: usize,
+    /// Whether the server is taken to know the object, or the route has none.
+    pub knows_object: bool,
+    /// Requests that are taken to be at the server.
+    pub load: f64,
+    /// How long ago the server last told its load, in milliseconds; `None` if it never did.
+    pub load_age_ms: Option<u64>,
+    /// The wait for a slot, in milliseconds.
+    pub wait_ms: f64,
+    /// The work, in milliseconds.
+    pub work_ms: f64,
+    /// The way there and back, in milliseconds.
+    pub way_ms: f64,
+}
+
+impl ExpectedAnswer {
+    /// The time from the offer to the answer, in milliseconds.
+    #[must_use]
+    pub const fn total_ms(&self) -> f64 {
+        self.wait_ms + self.work_ms + self.way_ms
+    }
+}
+
+/// A server that gets a request, and what is expected of it.
+#[derive(Debug)]
+pub struct ChosenServer {
+    /// The server.
+    pub server: rc::Rc<FleetServer>,
+    /// What is expected.
+    pub expected: ExpectedAnswer,
+}
+
 /// The outcome of a choice.
 #[derive(Debug)]
 pub enum ServerChoice {
     /// Offer the request to this server.
-    Offer(rc::Rc<FleetServer>),
+    Offer(ChosenServer),
     /// Refuse it.
     Refuse {
         /// Why.
@@ -103,25 +139,35 @@
     if ranked.is_empty() {
         return refuse(query, NoServer::NoneFit, random);
     }
-    let soonest = ranked
+    let mut candidates: Vec<ChosenServer> = ranked
+        .into_iter()
+        .enumerate()
+        .map(|(place, server)| ChosenServer {
+            expected: expect(query, &server, place),
+            server,
+        })
+        .collect();
+    match best_place(query, &candidates) {
+        Some(place) => ServerChoice::Offer(candidates.swap_remove(place)),
+        None => refuse(query, NoServer::AllFull, random),
+    }
+}
+
+/// The candidate with the earliest answer; `None` if each would answer too late.
+fn best_place(query: &ChoiceQuery<'_>, candidates: &[ChosenServer]) -> Option<usize> {
+    let soonest = candidates
         .iter()
+        .map(|candidate| candidate.expected.total_ms())
         .enumerate()
-        .map(|(place, server)| (expected_ms(query, server, place), server))
-        .min_by(|a, b| a.0.total_cmp(&b.0));
-    if let Some((millis, server)) = soonest
+        .min_by(|a, b| a.1.total_cmp(&b.1));
+    if let Some((place, millis)) = soonest
         && millis <= query.patience_ms
     {
-        return ServerChoice::Offer(rc::Rc::clone(server));
+        return Some(place);
     }
     // A first run on an object is let through also when it will be late: those after it are not.
-    let first_runs = ranked.iter().take(FIRST_RUN_DEPTH);
-    match first_runs
-        .into_iter()
-        .find(|server| has_room(query, server))
-    {
-        Some(server) => ServerChoice::Offer(rc::Rc::clone(server)),
-        None => refuse(query, NoServer::AllFull, random),
-    }
+    let mut first_runs = candidates.iter().take(FIRST_RUN_DEPTH);
+    first_runs.position(|candidate| has_room(query, &candidate.server))
 }
 
 fn fits(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
@@ -206,23 +252,31 @@
     fit.cloned().choose_multiple(random, RANK_DEPTH)
 }
 
-/// When an answer may be expected, in milliseconds: the wait for a slot, the work, the way. The
-/// first in rank is taken to know the object, since all hosts send it there.
-fn expected_ms(query: &ChoiceQuery<'_>, server: &FleetServer, place: usize) -> f64 {
+/// What may be expected of a server: the wait for a slot, the work, the way. The first in rank is
+/// taken to know the object, since all hosts send it there.
+fn expect(query: &ChoiceQuery<'_>, server: &FleetServer, place: usize) -> ExpectedAnswer {
     let slots = f64::from(server.slots);
-    let ahead = (server.expected_load(query.now) + 1.0 - slots).max(0.0);
-    let knows = place == 0
+    let load = server.expected_load(query.now);
+    let ahead = (load + 1.0 - slots).max(0.0);
+    let knows_object = place == 0
         || query
             .object
             .is_none_or(|object| server.knows_object(object));
-    let usual = if knows {
+    let usual_ms = if knows_object {
         query.usual_ms
     } else {
         query.first_ms
     };
-    let wait = query.usual_ms * server.pace(query.now) * ahead / slots;
-    let work = usual * server.pace(query.now);
-    wait + work + query.distances.way_ms(&server.region, query.region)
+    let multiple = server.pace(query.now);
+    ExpectedAnswer {
+        place,
+        knows_object,
+        load,
+        load_age_ms: server.told_age_ms(query.now),
+        wait_ms: query.usual_ms * multiple * ahead / slots,
+        work_ms: usual_ms * multiple,
+        way_ms: query.distances.way_ms(&server.region, query.region),
+    }
 }
 
 fn has_room(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -237,6 +237,13 @@
         f64::from(view.in_flight) + others
     }
 
+    /// How long ago it last told its load, in milliseconds; `None` if it never did.
+    #[must_use]
+    pub fn told_age_ms(&self, now: Moment) -> Option<u64> {
+        let told = self.view.borrow().told;
+        told.map(|told| now.since(told.at))
+    }
+
     /// How long it takes, as a multiple of what is usual.
     #[must_use]
     pub fn pace(&self, now: Moment) -> f64 {
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 
-use super::choice::{self, ChoiceQuery, ServerChoice};
+use super::choice::{self, ChoiceQuery, ChosenServer, ExpectedAnswer, ServerChoice};
 use super::configuration::RequestKind;
 use super::exchange::{self, OfferEnd, ServerAnswer};
 use super::fleet_server::FleetServer;
@@ -30,6 +30,19 @@
     pub(super) server: rc::Rc<FleetServer>,
     /// Its answer.
     pub(super) answer: Box<ServerAnswer>,
+    /// What was expected of it, and what came.
+    pub(super) offer: OfferRecord,
+}
+
+/// The offer that was answered, as the log tells it.
+#[derive(Debug, Clone, Copy, serde::Serialize, serde::Deserialize)]
+pub struct OfferRecord {
+    /// What was expected.
+    pub expected: ExpectedAnswer,
+    /// From the offer to the answer, in milliseconds.
+    pub took_ms: u64,
+    /// Servers that the request was offered to before.
+    pub offers_before: usize,
 }
 
 /// Offers the request until a server answers or nothing more may be tried.
@@ -46,10 +59,10 @@
         last: None,
     };
     for _ in 0..MAX_OFFERS {
-        let Some(server) = series.next_server()? else {
+        let Some(chosen) = series.next_server()? else {
             break;
         };
-        if let Some(answered) = series.offer(server).await? {
+        if let Some(answered) = series.offer(chosen).await? {
             return Ok(answered);
         }
         if series.sent >= open.route.attempts.max(1) {
@@ -75,28 +88,28 @@
 
 impl<W: WireProtocol> OfferSeries<'_, W> {
     /// The server for the next offer; `None` if there must be no more.
-    fn next_server(&mut self) -> Result<Option<rc::Rc<FleetServer>>, RequestFailure> {
+    fn next_server(&mut self) -> Result<Option<ChosenServer>, RequestFailure> {
         if self.open.deadline.since(self.host.now()) < LEAST_TIME_MS {
             return Ok(None);
         }
         let chosen = self.choose();
         // What a server has shown says more than that no other is left.
-        let server = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
+        let chosen = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
         if !self.is_within_budget() {
             return Ok(None);
         }
-        self.tried.push(server.id.clone());
-        Ok(Some(server))
+        self.tried.push(chosen.server.id.clone());
+        Ok(Some(chosen))
     }
 
-    fn choose(&self) -> Result<rc::Rc<FleetServer>, RequestFailure> {
+    fn choose(&self) -> Result<ChosenServer, RequestFailure> {
         let now = self.host.now();
         match self.draw(now) {
-            ServerChoice::Offer(server) => {
-                if server.is_cold(now) {
-                    server.on_cold_send(now);
+            ServerChoice::Offer(chosen) => {
+                if chosen.server.is_cold(now) {
+                    chosen.server.on_cold_send(now);
                 }
-                Ok(server)
+                Ok(chosen)
             }
             ServerChoice::Refuse {
                 reason,
@@ -155,8 +168,9 @@
     /// Offers it once; `None` if another server may be tried.
     async fn offer(
         &mut self,
-        server: rc::Rc<FleetServer>,
+        chosen: ChosenServer,
     ) -> Result<Option<AnsweredRequest>, RequestFailure> {
+        let ChosenServer { server, expected } = chosen;
         let object = self.open.object;
         let known_object = object.is_none_or(|object| server.remember_object(object));
         let began = self.host.now();
@@ -164,7 +178,16 @@
         match exchange::offer(self.host, &server, &self.open.forward, deadline).await {
             OfferEnd::Answered(answer) => {
                 self.on_answer(&server, began, known_object);
-                return Ok(Some(AnsweredRequest { server, answer }));
+                let offer = OfferRecord {
+                    expected,
+                    took_ms: self.host.now().since(began),
+                    offers_before: self.tried.len() - 1,
+                };
+                return Ok(Some(AnsweredRequest {
+                    server,
+                    answer,
+                    offer,
+                }));
             }
             OfferEnd::TimedOut => return Err(self.on_timeout(&server, began, known_object)),
             OfferEnd::NotSent => self.on_not_sent(&server),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -161,9 +161,9 @@
     open: &OpenRequest,
     answered: AnsweredRequest,
 ) -> CallerResponse<W> {
-    let AnsweredRequest { server, answer } = answered;
+    note_answer(host, open, &answered);
+    let AnsweredRequest { server, answer, .. } = answered;
     let answer = *answer;
-    note_answer(host, open, &server, answer.head.status);
     let headers = connection_headers::end_to_end(&answer.head.headers);
     let status = answer.head.status;
     let body = match answer.rest {
@@ -190,8 +190,7 @@
 fn note_answer<W: WireProtocol>(
     host: &EntryHost<W>,
     open: &OpenRequest,
-    server: &FleetServer,
-    status: http::StatusCode,
+    answered: &AnsweredRequest,
 ) {
     let millis = host.now().since(open.arrived);
     host.metrics
@@ -200,11 +199,14 @@
     let fields = json!({
         "id": open.forward.id,
         "route": open.route.name,
-        "server": server.id,
-        "hall": server.hall,
-        "status": status.as_u16(),
+        "server": answered.server.id,
+        "hall": answered.server.hall,
+        "status": answered.answer.head.status.as_u16(),
         "after_ms": millis,
+        "goal_ms": open.route.goal_ms,
         "time_left_ms": open.time_told.map(|left| left.as_millis() as u64),
+        "object": open.object.map(|object| format!("{object:016x}")),
+        "offer": answered.offer,
     });
     host.log
         .write(EventCode::RequestAnswered, LineWeight::Ordinary, fields);
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -148,7 +148,7 @@
 
 fn chosen(asked: &Asked<'_>) -> Option<String> {
     match choose(asked) {
-        ServerChoice::Offer(server) => Some(server.id.clone()),
+        ServerChoice::Offer(chosen) => Some(chosen.server.id.clone()),
         ServerChoice::Refuse { .. } => None,
     }
 }
@@ -290,7 +290,7 @@
                 assert_eq!(reason, NoServer::AllFull);
                 assert!((50..=150).contains(&come_back_ms), "{come_back_ms}");
             }
-            ServerChoice::Offer(server) => panic!("offered to {}", server.id),
+            ServerChoice::Offer(chosen) => panic!("offered to {}", chosen.server.id),
         }
     }
 }
