Learn usual times from the quicker answers, and a server's pace from two in a row

Cause: the usual time of a route was the average of all answers about objects that the server was believed to know. One long answer likewise made a server look slow.

Ruled out: load (one in three slots), sheds (1 to 5 in two seconds), the wait term (median 0).

Change: a lower quantile (0.3) in place of the average; of two answers in a row the faster counts for the pace.

--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -41,6 +41,8 @@
     in_flight: u32,
     told: Option<ToldLoad>,
     pace: Option<SeenPace>,
+    /// The time of the answer before, as a multiple of what is usual.
+    last_share: Option<f64>,
     failures: u32,
     ejected_until: Option<Moment>,
     ejections: u32,
@@ -164,9 +166,13 @@
         known.is_some()
     }
 
-    /// It answered in `share` of the time that such a request usually takes.
+    /// It answered in `share` of the time that such a request usually takes. Of two answers in a row
+    /// the faster counts: a server that is slow is slow twice, while one long answer may have
+    /// waited, or was a first run on its object.
     pub fn on_pace(&self, share: f64, now: Moment) {
         let mut view = self.view.borrow_mut();
+        let last = view.last_share.replace(share).unwrap_or(1.0);
+        let share = share.min(last.max(1.0));
         let before = view.pace.map_or(1.0, |pace| pace.faded(now));
         view.pace = Some(SeenPace {
             share: before + AVERAGE_WEIGHT * (share - before),
--- a/src/entry/route_times.rs
+++ b/src/entry/route_times.rs
@@ -6,9 +6,13 @@
 use super::host::EntryHost;
 use super::wire::WireProtocol;
 
-/// Weight of the newest answer in a route's usual time; a share. About the last twenty answers
-/// count.
-const USUAL_WEIGHT: f64 = 0.05;
+/// The usual time is this quantile of the answers: below the middle, because some of those that are
+/// taken for plain work have waited at a busy server, or were first runs after all. An average
+/// follows these: on a busy day it rose above the goal, and hosts then refused requests that free
+/// servers would have answered in time.
+const USUAL_QUANTILE: f64 = 0.3;
+/// How far one answer moves the usual time, as a share of it; about twenty answers count.
+const USUAL_STEP: f64 = 0.1;
 /// A route's usual time before its first answer, as a share of its goal.
 const FIRST_USUAL_SHARE: f64 = 0.5;
 
@@ -39,12 +43,28 @@
 }
 
 impl RouteTimeTable {
+    /// How long a request of `route` usually takes on a server that knows its object, in
+    /// milliseconds; `None` before the first answer.
+    ///
+    /// ```
+    /// use ledgespool::entry::route_times::{AnswerSample, RouteTimeTable};
+    /// let mut times = RouteTimeTable::default();
+    /// assert_eq!(times.known_ms("reads"), None);
+    /// let sample = AnswerSample { route: "reads", millis: 90, known_object: true };
+    /// assert!((times.on_answer(&sample) - 1.0).abs() < f64::EPSILON);
+    /// assert!(times.known_ms("reads").is_some());
+    /// ```
+    #[must_use]
+    pub fn known_ms(&self, route: &str) -> Option<f64> {
+        self.times_of(route).known
+    }
+
     fn times_of(&self, route: &str) -> RouteTimes {
         self.routes.get(route).copied().unwrap_or_default()
     }
 
     /// Takes in one answer; returns its time as a multiple of what was usual before it.
-    fn on_answer(&mut self, sample: &AnswerSample<'_>) -> f64 {
+    pub fn on_answer(&mut self, sample: &AnswerSample<'_>) -> f64 {
         let millis = (sample.millis as f64).max(1.0);
         let times = self.routes.entry(sample.route.to_owned()).or_default();
         let kind = if sample.known_object {
@@ -54,7 +74,12 @@
         };
         let usual = kind.get_or_insert(millis);
         let pace = millis / *usual;
-        *usual += USUAL_WEIGHT * (millis - *usual);
+        // Steps up and down balance where the wanted share of the answers lies below.
+        *usual *= if millis > *usual {
+            1.0 + USUAL_STEP * USUAL_QUANTILE
+        } else {
+            1.0 - USUAL_STEP * (1.0 - USUAL_QUANTILE)
+        };
         pace
     }
 }
@@ -63,7 +88,7 @@
     /// How long a request of a route usually takes, in milliseconds.
     #[must_use]
     pub fn usual_ms(&self, route: &str, goal_ms: u64) -> f64 {
-        let known = self.route_times.borrow().times_of(route).known;
+        let known = self.route_times.borrow().known_ms(route);
         known.unwrap_or(goal_ms as f64 * FIRST_USUAL_SHARE)
     }
 
