Keep a region's objects on its own servers, with two alternatives anywhere

Change: the first place of the rank weighs the regions so that a region's objects stay on its own servers as far as these have room against the callers of all, for whom the numbers of hosts stand; two places behind it go by the whole service. A server that may not know the object is charged twice the length of a first run beside it.

--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -10,6 +10,7 @@
 use ledgespool::entry::choice::{self, ChoiceQuery};
 use ledgespool::entry::fleet::Fleet;
 use ledgespool::entry::region_distance::RegionDistances;
+use ledgespool::entry::region_shares::{RegionRoom, RegionWeights};
 use ledgespool::entry::server::{ServerRecord, ServerState};
 use ledgespool::entry::settings::HallMap;
 use ledgespool::entry::store::{ObjectContent, StoredObject};
@@ -36,6 +37,16 @@
     let fleet = fleet(servers);
     let evacuated = BTreeSet::new();
     let distances = RegionDistances::default();
+    let rooms = [10, 40, 50]
+        .into_iter()
+        .enumerate()
+        .map(|(number, slots)| RegionRoom {
+            region: format!("region-{number}"),
+            hosts: 4,
+            slots,
+        });
+    let rooms: Vec<RegionRoom> = rooms.collect();
+    let weights = RegionWeights::for_region("region-0", &rooms);
     let mut random = SmallRng::seed_from_u64(7);
     let start = Instant::now();
     for number in 0..CHOICES {
@@ -44,6 +55,7 @@
             object: objects.map(|objects| choice::mix(number % objects)),
             region: "region-0",
             distances: &distances,
+            weights: &weights,
             homes: &[],
             evacuated: &evacuated,
             tried: &[],
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -4,7 +4,7 @@
 //! faster, so the object's key ranks the servers (weighted rendezvous hashing; Thaler and
 //! Ravishankar, 1998) and the first in that order with room gets the request. A full server is
 //! passed over, which bounds the load of each (consistent hashing with bounded loads; Mirrokni,
-//! Thorup and Zadimoghaddam, 2018). Every host ranks alike without talking to the others.
+//! Thorup and Zadimoghaddam, 2018). All hosts of a region rank alike without talking to each other.
 //!
 //! A request that would end past its aim everywhere is refused at once: it would take the place of
 //! one that can still be served in time.
@@ -18,12 +18,22 @@
 use super::budget;
 use super::fleet_server::FleetServer;
 use super::region_distance::RegionDistances;
+use super::region_shares::RegionWeights;
 use crate::timer::Moment;
 
-/// Servers in rank order that may get an object's requests. Further down the rank a request runs
-/// cold and pushes other objects out of the server's memory: on a busy day four were worth more
-/// than the whole fleet (the trial in the design note).
-pub const RANK_DEPTH: usize = 4;
+/// Places in an object's rank that go by the weights of the regions: its requests run there as long
+/// as an answer comes in time.
+pub const HOME_PLACES: usize = 1;
+/// Places behind them that go by the whole service, so that a busy region's objects find room
+/// elsewhere. With three the alternatives met objects so seldom that they were first runs
+/// (docs/DECISIONS-UNDER-LOAD.md).
+pub const OPEN_PLACES: usize = 2;
+/// Servers that are compared on routes where objects do not matter.
+const DRAWN_SERVERS: usize = 4;
+/// What a first run on an object costs the requests behind it, as a multiple of its own length,
+/// when its server is compared with one that knows the object. A first run holds a slot several
+/// times as long as another, and those after it on the same object are late as well.
+const FIRST_RUN_BURDEN: f64 = 2.0;
 /// Servers in rank order that may get first runs on an object that will be late: enough that a
 /// busy object gets warm somewhere, few enough that first runs do not take the slots of others.
 const FIRST_RUN_DEPTH: usize = 2;
@@ -31,7 +41,7 @@
 /// rank that a server can have.
 const FAR_RANK: f64 = u32::MAX as f64;
 /// Servers that are drawn where objects do not matter, before all are looked through.
-const DRAW_TRIES: usize = 4 * RANK_DEPTH;
+const DRAW_TRIES: usize = 4 * DRAWN_SERVERS;
 /// A server slower than this multiple of what is usual gets no first runs on an object.
 const SLOW_PACE: f64 = 2.5;
 /// Come-back times lie between these shares of the expected answer time, so that those who come
@@ -51,6 +61,8 @@
     pub region: &'a str,
     /// How far the regions are.
     pub distances: &'a RegionDistances,
+    /// What the servers of each region weigh in the rank of an object.
+    pub weights: &'a RegionWeights,
     /// The only regions that may serve it; empty for all.
     pub homes: &'a [String],
     /// Halls that get no work.
@@ -153,15 +165,15 @@
     }
 }
 
-/// The candidate with the earliest answer; `None` if each would answer too late.
+/// The candidate whose answer costs least; `None` if each would answer too late.
 fn best_place(query: &ChoiceQuery<'_>, candidates: &[ChosenServer]) -> Option<usize> {
-    let soonest = candidates
+    let cheapest = candidates
         .iter()
-        .map(|candidate| candidate.expected.total_ms())
+        .map(|candidate| cost_ms(query, &candidate.expected))
         .enumerate()
         .min_by(|a, b| a.1.total_cmp(&b.1));
-    if let Some((place, millis)) = soonest
-        && millis <= query.patience_ms
+    if let Some((place, _cost)) = cheapest
+        && candidates[place].expected.total_ms() <= query.patience_ms
     {
         return Some(place);
     }
@@ -179,39 +191,80 @@
         && (!server.is_cold(query.now) || query.cold_share.allows(server, query.now))
 }
 
-/// The first servers in the object's order that may get a request, at most [`RANK_DEPTH`].
+/// The servers that may get an object's requests: first [`HOME_PLACES`] by the weights of their
+/// regions, then the first [`OPEN_PLACES`] of the whole service that are not among them.
 ///
-/// Each server draws a number from 0 to 1 for the object; the rank is its negative logarithm over
-/// the server's slots, so that servers with more slots come first more often, in proportion. Most
-/// servers draw too low to be among the first, whatever their slots: they are passed over unranked.
+/// Each server draws a number from 0 to 1 for the object; its rank is the negative logarithm over
+/// its weight, so that servers of more weight come first more often, in proportion. Slots are the
+/// weight; in the home places they are multiplied by the region's.
 #[must_use]
 pub fn rank_by_object(query: &ChoiceQuery<'_>, object: u64) -> Vec<rc::Rc<FleetServer>> {
-    let slots = query.servers.iter().map(|server| server.slots);
-    let most_slots = f64::from(slots.max().unwrap_or(1));
-    let mut best: Vec<(f64, &rc::Rc<FleetServer>)> = Vec::with_capacity(RANK_DEPTH + 1);
-    let mut least_drawn = 0.0;
+    let most_slots = query.servers.iter().map(|server| server.slots).max();
+    let most_slots = f64::from(most_slots.unwrap_or(1));
+    let mut home = RankList::with_places(HOME_PLACES, most_slots * query.weights.largest());
+    // One of them may stand in the home places already.
+    let mut open = RankList::with_places(HOME_PLACES + OPEN_PLACES, most_slots);
     for server in query.servers {
         let drawn = uniform(object ^ server.hash);
-        if drawn < least_drawn || !fits(query, server) {
+        if !(home.may_enter(drawn) || open.may_enter(drawn)) || !fits(query, server) {
             continue;
         }
+        let slots = f64::from(server.slots);
         let far = query.near && server.region != query.region;
         // A far server ranks behind every near one.
-        let rank = -drawn.ln() / f64::from(server.slots) + if far { FAR_RANK } else { 0.0 };
-        let place = best.partition_point(|(other, _)| *other <= rank);
-        if place < RANK_DEPTH {
-            best.insert(place, (rank, server));
-            best.truncate(RANK_DEPTH);
+        let behind = if far { FAR_RANK } else { 0.0 };
+        let weight = slots * query.weights.of(&server.region);
+        home.insert(-drawn.ln() / weight + behind, server);
+        open.insert(-drawn.ln() / slots + behind, server);
+    }
+    let is_home = |server: &FleetServer| home.best.iter().any(|(_, known)| known.id == server.id);
+    let others = open.best.iter().filter(|(_, server)| !is_home(server));
+    home.best
+        .iter()
+        .chain(others.take(OPEN_PLACES))
+        .map(|(_, server)| rc::Rc::clone(server))
+        .collect()
+}
+
+/// The servers of the lowest rank so far.
+#[derive(Debug)]
+struct RankList<'a> {
+    best: Vec<(f64, &'a rc::Rc<FleetServer>)>,
+    places: usize,
+    /// No server weighs more.
+    most_weight: f64,
+    /// Who draws less does not get in, whatever it weighs.
+    least_drawn: f64,
+}
+
+impl<'a> RankList<'a> {
+    fn with_places(places: usize, most_weight: f64) -> Self {
+        Self {
+            best: Vec::with_capacity(places + 1),
+            places,
+            most_weight,
+            least_drawn: 0.0,
+        }
+    }
+
+    /// Most servers draw too low to be among the first: they need not be ranked.
+    fn may_enter(&self, drawn: f64) -> bool {
+        drawn >= self.least_drawn
+    }
+
+    fn insert(&mut self, rank: f64, server: &'a rc::Rc<FleetServer>) {
+        let place = self.best.partition_point(|(other, _)| *other <= rank);
+        if place >= self.places {
+            return;
         }
-        if let [.., (last, _)] = best[..]
-            && best.len() == RANK_DEPTH
+        self.best.insert(place, (rank, server));
+        self.best.truncate(self.places);
+        if let [.., (last, _)] = self.best[..]
+            && self.best.len() == self.places
         {
-            least_drawn = (-last * most_slots).exp();
+            self.least_drawn = (-last * self.most_weight).exp();
         }
     }
-    best.into_iter()
-        .map(|(_, server)| rc::Rc::clone(server))
-        .collect()
 }
 
 /// A hash as a number above 0 and up to 1, of its upper 53 bits.
@@ -241,15 +294,15 @@
         .iter()
         .map(|place| &servers[place])
         .filter(|server| fits(query, server))
-        .take(RANK_DEPTH)
+        .take(DRAWN_SERVERS)
         .cloned()
         .collect();
-    if drawn.len() == RANK_DEPTH || tries == servers.len() {
+    if drawn.len() == DRAWN_SERVERS || tries == servers.len() {
         return drawn;
     }
     // Few fit, as when a region is cut off.
     let fit = servers.iter().filter(|server| fits(query, server));
-    fit.cloned().choose_multiple(random, RANK_DEPTH)
+    fit.cloned().choose_multiple(random, DRAWN_SERVERS)
 }
 
 /// What may be expected of a server: the wait for a slot, the work, the way. The first in rank is
@@ -279,6 +332,16 @@
     }
 }
 
+/// What an answer costs its own caller and those behind it, in milliseconds.
+fn cost_ms(query: &ChoiceQuery<'_>, expected: &ExpectedAnswer) -> f64 {
+    let burden_ms = if expected.knows_object {
+        0.0
+    } else {
+        FIRST_RUN_BURDEN * query.first_ms
+    };
+    expected.total_ms() + burden_ms
+}
+
 fn has_room(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
     server.expected_load(query.now) + 1.0 <= f64::from(server.slots)
         && server.pace(query.now) < SLOW_PACE
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -1,7 +1,7 @@
 //! The state of one entry host, shared by the tasks of its one thread.
 //!
 //! What a host does with one part of its state stands with that part: [`super::evacuation`],
-//! [`super::route_times`], [`super::host_fleet`], [`super::host_budget`], [`super::stop`], [`super::watch_role`] and
+//! [`super::route_times`], [`super::region_shares`], [`super::host_fleet`], [`super::host_budget`], [`super::stop`], [`super::watch_role`] and
 //! [`super::self_report`]; [`super::lifecycle`] runs it.
 
 use std::{cell, collections, rc};
@@ -22,6 +22,7 @@
 use super::peers::PeerTable;
 use super::pool::ServerPool;
 use super::region_distance::RegionDistances;
+use super::region_shares::WeightCache;
 use super::route_times::RouteTimeTable;
 use super::settings::EntrySettings;
 use super::stop::StopState;
@@ -64,6 +65,7 @@
     pub(super) evacuations: cell::RefCell<EvacuationList>,
     pub(super) retry_windows: cell::RefCell<collections::HashMap<String, RetryWindow>>,
     pub(super) route_times: cell::RefCell<RouteTimeTable>,
+    pub(super) region_weights: WeightCache,
     pub(super) stop: StopState,
 }
 
@@ -93,6 +95,7 @@
             evacuations: cell::RefCell::default(),
             retry_windows: cell::RefCell::default(),
             route_times: cell::RefCell::default(),
+            region_weights: WeightCache::default(),
             stop: StopState::default(),
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -43,6 +43,7 @@
 pub mod peers;
 pub mod pool;
 pub mod region_distance;
+pub mod region_shares;
 pub mod request;
 mod request_failure;
 pub mod route_times;
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -127,7 +127,9 @@
         let evacuated = host.evacuated_halls();
         let distances = host.distances.borrow();
         let goal_left_ms = route.goal_ms.saturating_sub(now.since(open.arrived));
+        let weights = host.region_weights(&open.service);
         let query = ChoiceQuery {
+            weights: &weights,
             servers: fleet.of_service(&open.service),
             object: open.object,
             region: &settings.region,
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -250,6 +250,16 @@
         }
     }
 
+    /// How many other hosts of each region are known.
+    #[must_use]
+    pub fn hosts_by_region(&self) -> collections::BTreeMap<String, u32> {
+        let mut counts = collections::BTreeMap::new();
+        for peer in self.peers.values() {
+            *counts.entry(peer.record.region.clone()).or_default() += 1;
+        }
+        counts
+    }
+
     /// Whether `own` is the first by name of the live hosts of its region.
     #[must_use]
     pub fn is_first_alive(&self, own: &HostRecord, now: Moment) -> bool {
