Ask a server again that turned a request away with free slots

The request then went to a server that did not know its object: a first run, late, and a slot held three times as long. Those that found no second server were told to come back after the usual time of an answer, and were late when they did.

Change: a server that tells free slots with its refusal is asked once more; who is refused for such reasons only may come back after 10 ms, as nothing must become free first. A full server is still passed over.

Test first: answers::a_server_that_turned_a_request_away_with_free_slots... got 503 before, 200 after.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -9,6 +9,7 @@
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::pool::{self, ServerSender};
+use super::server::ServerLoad;
 use super::wire::{ServerHead, WireProtocol};
 use crate::timer::Moment;
 
@@ -58,6 +59,8 @@
     NotRun {
         /// Its status.
         status: http::StatusCode,
+        /// Whether it told free slots with it: then it is not for want of room.
+        had_room: bool,
     },
     /// Another incarnation has the address: it has not run.
     OtherServer,
@@ -215,6 +218,7 @@
     if told.not_run || misdirected {
         return Some(OfferEnd::NotRun {
             status: head.status,
+            had_room: told.load.is_some_and(ServerLoad::has_room),
         });
     }
     let reason = distrust(head, &told)?;
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -22,6 +22,9 @@
 /// With less time left than this, in milliseconds, a request is not offered: no answer would come
 /// back in time.
 const LEAST_TIME_MS: u64 = 20;
+/// When a request may come back that only servers with free slots have turned away, in
+/// milliseconds: at once, since nothing must become free first.
+const SHED_COME_BACK_MS: u64 = 10;
 
 /// A request's answer and the server that gave it.
 #[derive(Debug)]
@@ -55,6 +58,8 @@
         open,
         tried: Vec::new(),
         sent: 0,
+        offers: 0,
+        asked_again: false,
         counted: false,
         last: None,
     };
@@ -76,10 +81,14 @@
 struct OfferSeries<'a, W> {
     host: &'a EntryHost<W>,
     open: &'a OpenRequest,
-    /// The servers that it was offered to.
+    /// The servers that it must not be offered to any more.
     tried: Vec<String>,
     /// How often it was sent; an offer that found no connection is not counted.
     sent: u32,
+    /// How often it was offered.
+    offers: usize,
+    /// Whether a server that turned it away in spite of free slots was asked again.
+    asked_again: bool,
     /// Whether the request was counted for the repeat budget.
     counted: bool,
     /// What came of the last time that it was sent.
@@ -99,6 +108,7 @@
             return Ok(None);
         }
         self.tried.push(chosen.server.id.clone());
+        self.offers += 1;
         Ok(Some(chosen))
     }
 
@@ -183,7 +193,7 @@
                 let offer = OfferRecord {
                     expected,
                     took_ms: self.host.now().since(began),
-                    offers_before: self.tried.len() - 1,
+                    offers_before: self.offers - 1,
                 };
                 return Ok(Some(AnsweredRequest {
                     server,
@@ -194,7 +204,7 @@
             OfferEnd::TimedOut => return Err(self.on_timeout(&server, began, known_object)),
             OfferEnd::NotSent => self.on_not_sent(&server),
             OfferEnd::OutOfTime => self.note_offer(&server, "out of time before it was sent"),
-            OfferEnd::NotRun { status } => self.on_not_run(&server, status),
+            OfferEnd::NotRun { status, had_room } => self.on_not_run(&server, status, had_room),
             OfferEnd::OtherServer => self.on_other_server(&server),
             OfferEnd::Lost { reason } => self.on_lost(&server, reason)?,
         }
@@ -233,10 +243,20 @@
         self.host.on_server_unreachable(server);
     }
 
-    fn on_not_run(&mut self, server: &FleetServer, status: http::StatusCode) {
+    /// A server turned it away. One with free slots is asked once more: it may take the next one, and
+    /// another server would have to do a first run on the object.
+    fn on_not_run(&mut self, server: &FleetServer, status: http::StatusCode, had_room: bool) {
         self.host.metrics.borrow_mut().shed += 1;
         self.note_offer(server, status.as_str());
-        self.on_sent(self.not_run());
+        if !had_room {
+            self.on_sent(self.not_run());
+            return;
+        }
+        self.on_sent(RequestFailure::not_run(SHED_COME_BACK_MS));
+        if !self.asked_again {
+            self.asked_again = true;
+            self.tried.retain(|id| *id != server.id);
+        }
     }
 
     fn on_other_server(&mut self, server: &FleetServer) {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -49,3 +49,18 @@
     /// Requests that it can work on at a time.
     pub slots: u32,
 }
+
+impl ServerLoad {
+    /// Whether a slot is free and nobody waits for it.
+    ///
+    /// ```
+    /// use ledgespool::entry::server::ServerLoad;
+    /// let load = |running, waiting| ServerLoad { running, waiting, slots: 3 };
+    /// assert!(load(2, 0).has_room());
+    /// assert!(!load(3, 0).has_room() && !load(2, 1).has_room());
+    /// ```
+    #[must_use]
+    pub const fn has_room(self) -> bool {
+        self.waiting == 0 && self.running < self.slots
+    }
+}
