Tell from the logs where requests lost their worth: ledgespool losses

Change: `losses` reads the decision logs of all hosts and prints, by route and by two seconds, the main cause of each late answer, requests without an answer, refusals in spite of free slots, and how far off the expected times were; as a table, as JSON, and as a picture. Refusals now say how many free slots were within reach. Bad lines get LS1013 and are counted, a picture that cannot be written LS1014. The logs' commands have a file of their own.

--- a/src/bin/ledgespool/app.rs
+++ b/src/bin/ledgespool/app.rs
@@ -175,6 +175,20 @@
         #[bpaf(positional("FILE"), many)]
         files: Vec<path::PathBuf>,
     },
+    /// Tell where requests lost their worth, from the logs of entry hosts
+    ///
+    /// Example: ledgespool losses --plot losses.svg entry-*.log
+    #[bpaf(command)]
+    Losses {
+        /// Print JSON
+        json: bool,
+        /// Draw the losses over time into this file
+        #[bpaf(long, argument("FILE.svg"), optional)]
+        plot: Option<path::PathBuf>,
+        /// Log files of any hosts; standard input without one
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<path::PathBuf>,
+    },
     /// Print the schema of the operators' calls
     ///
     /// Example: ledgespool schema > schema/openrpc.json
--- a/src/bin/ledgespool/commands.rs
+++ b/src/bin/ledgespool/commands.rs
@@ -1,7 +1,6 @@
 //! Carries out the commands.
 
-use std::io::Read as _;
-use std::{fs, net, path, time};
+use std::{net, path, time};
 
 use ledgespool::config_object::{ConfigChange, ConfigObject};
 use ledgespool::control_message::HostStatus;
@@ -9,7 +8,6 @@
 use ledgespool::error::{self, Error};
 use ledgespool::event::EventCode;
 use ledgespool::member::HostState;
-use ledgespool::request_story::RequestStory;
 use ledgespool::result_code::ResultCode;
 use ledgespool::rpc::{ChangeParams, ChangeResult, NoParams, TimelineParams, method};
 use ledgespool::rpc_client::ControlClient;
@@ -18,6 +16,7 @@
 use ledgespool::{catalogue, openrpc, timer};
 
 use crate::app::{HostOptions, OperatorCommand};
+use crate::logs;
 use crate::output::{self, HostLine};
 
 const CALL_LIMIT: time::Duration = time::Duration::from_secs(8);
@@ -99,7 +98,10 @@
             Ok(())
         }
         OperatorCommand::Explain { code, .. } => explain(code.as_deref()),
-        OperatorCommand::ExplainRequest { id, files } => explain_request(&id, &files),
+        OperatorCommand::ExplainRequest { id, files } => logs::explain_request(&id, &files),
+        OperatorCommand::Losses { json, plot, files } => {
+            logs::show_losses(&files, json, plot.as_deref())
+        }
         OperatorCommand::Schema => {
             println!("{}", openrpc::document_text());
             Ok(())
@@ -354,26 +356,6 @@
     }
 }
 
-fn explain_request(id: &str, files: &[path::PathBuf]) -> error::Result<()> {
-    let mut logs = String::new();
-    if files.is_empty() {
-        std::io::stdin().read_to_string(&mut logs)?;
-    }
-    for file in files {
-        let bytes = fs::read(file).map_err(|fault| {
-            Error::with_code(
-                ResultCode::FileUnreadable,
-                format!("{}: {fault}", file.display()),
-            )
-        })?;
-        logs.push_str(&String::from_utf8_lossy(&bytes));
-        logs.push('\n');
-    }
-    let lines = logs.lines().filter(|line| !line.is_empty());
-    println!("{}", RequestStory::from_lines(id, lines));
-    Ok(())
-}
-
 async fn show_timeline(options: &HostOptions, last: usize) -> error::Result<()> {
     let token = token(options)?;
     let first: HostStatus = client(options, CALL_LIMIT)?
--- a/src/bin/ledgespool/main.rs
+++ b/src/bin/ledgespool/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod commands;
+mod logs;
 mod output;
 
 use std::process;
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -17,6 +17,7 @@
 
 use super::budget;
 use super::fleet_server::FleetServer;
+use super::offer_record::ExpectedAnswer;
 use super::region_distance::RegionDistances;
 use super::region_shares::RegionWeights;
 use crate::timer::Moment;
@@ -92,33 +93,6 @@
     AllFull,
 }
 
-/// What a host expects of one server for one request, and what it bases that on.
-#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct ExpectedAnswer {
-    /// The server's place in the object's rank, from 0; on routes without objects, in the draw.
-    pub place: usize,
-    /// Whether the server is taken to know the object, or the route has none.
-    pub knows_object: bool,
-    /// Requests that are taken to be at the server.
-    pub load: f64,
-    /// How long ago the server last told its load, in milliseconds; `None` if it never did.
-    pub load_age_ms: Option<u64>,
-    /// The wait for a slot, in milliseconds.
-    pub wait_ms: f64,
-    /// The work, in milliseconds.
-    pub work_ms: f64,
-    /// The way there and back, in milliseconds.
-    pub way_ms: f64,
-}
-
-impl ExpectedAnswer {
-    /// The time from the offer to the answer, in milliseconds.
-    #[must_use]
-    pub const fn total_ms(&self) -> f64 {
-        self.wait_ms + self.work_ms + self.way_ms
-    }
-}
-
 /// A server that gets a request, and what is expected of it.
 #[derive(Debug)]
 pub struct ChosenServer {
@@ -139,6 +113,8 @@
         reason: NoServer,
         /// When coming back may help, in milliseconds.
         come_back_ms: u64,
+        /// Free slots of the servers that were compared, as far as this host knows.
+        free_slots: u32,
     },
 }
 
@@ -149,7 +125,7 @@
         None => draw(query, random),
     };
     if ranked.is_empty() {
-        return refuse(query, NoServer::NoneFit, random);
+        return refuse(query, NoServer::NoneFit, 0, random);
     }
     let mut candidates: Vec<ChosenServer> = ranked
         .into_iter()
@@ -161,10 +137,19 @@
         .collect();
     match best_place(query, &candidates) {
         Some(place) => ServerChoice::Offer(candidates.swap_remove(place)),
-        None => refuse(query, NoServer::AllFull, random),
+        None => refuse(query, NoServer::AllFull, free_slots(&candidates), random),
     }
 }
 
+fn free_slots(candidates: &[ChosenServer]) -> u32 {
+    let free = candidates.iter().map(|candidate| {
+        let free = f64::from(candidate.server.slots) - candidate.expected.load;
+        // At most the slots, and never below zero.
+        free.max(0.0) as u32
+    });
+    free.sum()
+}
+
 /// The candidate whose answer costs least; `None` if each would answer too late.
 fn best_place(query: &ChoiceQuery<'_>, candidates: &[ChosenServer]) -> Option<usize> {
     let cheapest = candidates
@@ -347,12 +332,18 @@
         && server.pace(query.now) < SLOW_PACE
 }
 
-fn refuse(query: &ChoiceQuery<'_>, reason: NoServer, random: &mut SmallRng) -> ServerChoice {
+fn refuse(
+    query: &ChoiceQuery<'_>,
+    reason: NoServer,
+    free_slots: u32,
+    random: &mut SmallRng,
+) -> ServerChoice {
     let share = random.random_range(COME_BACK_SHARES);
     let millis = (query.usual_ms * share).max(COME_BACK_MIN_MS);
     ServerChoice::Refuse {
         reason,
         // A float cast saturates, and the value is positive.
         come_back_ms: millis as u64,
+        free_slots,
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,6 +37,7 @@
 pub mod listen;
 pub mod metrics_page;
 pub mod news_part;
+pub mod offer_record;
 mod offers;
 mod open_request;
 pub mod peer_message;
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -5,11 +5,12 @@
 
 use serde_json::json;
 
-use super::choice::{self, ChoiceQuery, ChosenServer, ExpectedAnswer, ServerChoice};
+use super::choice::{self, ChoiceQuery, ChosenServer, ServerChoice};
 use super::configuration::RequestKind;
 use super::exchange::{self, OfferEnd, ServerAnswer};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
+use super::offer_record::OfferRecord;
 use super::open_request::OpenRequest;
 use super::request_failure::RequestFailure;
 use super::route_times::AnswerSample;
@@ -37,17 +38,6 @@
     pub(super) offer: OfferRecord,
 }
 
-/// The offer that was answered, as the log tells it.
-#[derive(Debug, Clone, Copy, serde::Serialize, serde::Deserialize)]
-pub struct OfferRecord {
-    /// What was expected.
-    pub expected: ExpectedAnswer,
-    /// From the offer to the answer, in milliseconds.
-    pub took_ms: u64,
-    /// Servers that the request was offered to before.
-    pub offers_before: usize,
-}
-
 /// Offers the request until a server answers or nothing more may be tried.
 pub(super) async fn run<W: WireProtocol>(
     host: &EntryHost<W>,
@@ -124,7 +114,11 @@
             ServerChoice::Refuse {
                 reason,
                 come_back_ms,
-            } => Err(RequestFailure::without_server(reason, come_back_ms)),
+                free_slots,
+            } => {
+                let failure = RequestFailure::without_server(reason, come_back_ms);
+                Err(failure.with_free_slots(free_slots))
+            }
         }
     }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -91,6 +91,7 @@
             "code": failure.code().to_string(),
             "reason": failure.reason,
             "come_back_ms": failure.come_back_ms,
+            "free_slots": failure.free_slots,
             "after_ms": millis,
             "version": host.configuration_version(),
             "fleet_revision": host.fleet.borrow().revision(),
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -21,6 +21,8 @@
     pub(super) come_back_ms: Option<u64>,
     /// Why, for the log.
     pub(super) reason: &'static str,
+    /// Free slots within reach when it was refused for want of room, for the log.
+    pub(super) free_slots: Option<u32>,
 }
 
 impl RequestFailure {
@@ -77,6 +79,7 @@
             end,
             come_back_ms: Some(come_back_ms),
             reason,
+            free_slots: None,
         }
     }
 
@@ -86,6 +89,15 @@
             end,
             come_back_ms: None,
             reason,
+            free_slots: None,
+        }
+    }
+
+    /// The same, with what is known of free slots.
+    pub(super) const fn with_free_slots(self, free_slots: u32) -> Self {
+        Self {
+            free_slots: Some(free_slots),
+            ..self
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http_client;
 pub mod listener;
 pub mod lookup;
+pub mod losses;
 pub mod member;
 pub mod membership;
 pub mod metrics;
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -93,6 +93,8 @@
     ValueOutOfRange = 1010, 400, None, "A value lies outside its allowed range.", "Use a value in the range that the message names.";
     FileUnreadable = 1011, 400, None, "A file or directory cannot be read.", "Check the path and its permissions.";
     AddressInvalid = 1012, 400, None, "An address is not IP:PORT, or a prefix is not CIDR.", "Write for example 127.0.0.1:9000 or 10.0.0.0/16.";
+    LogLineInvalid = 1013, 400, None, "A line of a log cannot be read.", "Nothing to do for single cut lines; else check that it is a decision log of an entry host.";
+    FileUnwritable = 1014, 400, None, "A file cannot be written.", "Check the path and its permissions.";
 
     Answered = 2000, 200, ANSWERED, "The whole answer was delivered.", "Nothing to do.";
     RequestMalformed = 2001, 400, NOT_RUN, "A request header is missing or malformed.", "Send the headers that docs/CALLERS.md lists.";
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -394,8 +394,9 @@
             ServerChoice::Refuse {
                 reason,
                 come_back_ms,
+                free_slots,
             } => {
-                assert_eq!(reason, NoServer::AllFull);
+                assert_eq!((reason, free_slots), (NoServer::AllFull, 0));
                 assert!((50..=150).contains(&come_back_ms), "{come_back_ms}");
             }
             ServerChoice::Offer(chosen) => panic!("offered to {}", chosen.server.id),
--- /dev/null
+++ b/tests/losses.rs
@@ -0,0 +1,206 @@
+//! Where requests lost their worth, from logs as they come: mixed, cut, prefixed.
+
+use ledgespool::losses::cause::LateCause;
+use ledgespool::losses::line::{self, LossLine};
+use ledgespool::losses::plot;
+use ledgespool::losses::report::{LossCounts, LossReport};
+use proptest::prelude::*;
+
+/// An answered request, with what decides why it was late.
+#[derive(Clone, Copy)]
+struct Answer {
+    unix_ms: u64,
+    server: &'static str,
+    object: &'static str,
+    after_ms: u64,
+    took_ms: u64,
+    way_ms: f64,
+    offers_before: usize,
+    time_left_ms: u64,
+}
+
+/// In time, on a server that knows the object, of a goal of 200 ms.
+const SOUND: Answer = Answer {
+    unix_ms: 10_000,
+    server: "i-1",
+    object: "o-1",
+    after_ms: 140,
+    took_ms: 140,
+    way_ms: 40.0,
+    offers_before: 0,
+    time_left_ms: 1_000,
+};
+
+impl Answer {
+    fn text(&self) -> String {
+        format!(
+            r#"0.5 host-a {{"unix_ms":{},"host":"a","event":"EV5012","text":"It was answered.","id":"r","route":"reads","server":"{}","hall":"h","status":200,"after_ms":{},"goal_ms":200,"time_left_ms":{},"object":"{}","offer":{{"expected":{{"place":0,"knows_object":true,"load":1.0,"load_age_ms":null,"wait_ms":0.0,"work_ms":100.0,"way_ms":{:.1}}},"took_ms":{},"offers_before":{}}}}}"#,
+            self.unix_ms,
+            self.server,
+            self.after_ms,
+            self.time_left_ms,
+            self.object,
+            self.way_ms,
+            self.took_ms,
+            self.offers_before
+        )
+    }
+}
+
+fn report(answers: &[Answer]) -> LossReport {
+    let texts: Vec<String> = answers.iter().map(Answer::text).collect();
+    LossReport::from_lines(texts.iter().map(String::as_str))
+}
+
+/// The causes of the late answers but the first, which makes the object known.
+fn causes(answer: Answer) -> Vec<(LateCause, u64)> {
+    let later = Answer {
+        unix_ms: 20_000,
+        ..answer
+    };
+    let report = report(&[SOUND, later]);
+    let late = &report.routes["reads"].counts.late;
+    late.iter().map(|(cause, count)| (*cause, *count)).collect()
+}
+
+#[test]
+fn each_late_answer_has_one_cause() {
+    assert_eq!(causes(SOUND), []);
+    let cases = [
+        (
+            LateCause::CameBack,
+            Answer {
+                time_left_ms: 800,
+                ..SOUND
+            },
+        ),
+        (
+            LateCause::EarlierOffer,
+            Answer {
+                after_ms: 400,
+                offers_before: 1,
+                ..SOUND
+            },
+        ),
+        (
+            LateCause::FirstRun,
+            Answer {
+                object: "o-2",
+                after_ms: 350,
+                took_ms: 350,
+                ..SOUND
+            },
+        ),
+        (
+            LateCause::Wait,
+            Answer {
+                after_ms: 500,
+                took_ms: 500,
+                ..SOUND
+            },
+        ),
+        (
+            LateCause::Way,
+            Answer {
+                after_ms: 220,
+                took_ms: 220,
+                ..SOUND
+            },
+        ),
+        (
+            LateCause::Work,
+            Answer {
+                after_ms: 270,
+                took_ms: 270,
+                ..SOUND
+            },
+        ),
+    ];
+    for (cause, answer) in cases {
+        assert_eq!(causes(answer), [(cause, 1)], "{cause}");
+    }
+}
+
+#[test]
+fn expectations_are_judged_apart_for_first_runs() {
+    let first = Answer {
+        took_ms: 400,
+        ..SOUND
+    };
+    let again = Answer {
+        unix_ms: 20_000,
+        took_ms: 150,
+        ..SOUND
+    };
+    let report = report(&[first, again]);
+    let route = &report.routes["reads"];
+    assert_eq!(route.known.answers, 1);
+    assert!((route.known.median_ms - 10.0).abs() < 1e-9);
+    assert_eq!(route.mistaken.answers, 1);
+    assert!((route.mistaken.median_ms - 260.0).abs() < 1e-9);
+}
+
+#[test]
+fn bad_lines_are_counted_with_a_numbered_error() {
+    let whole = SOUND.text();
+    let cut = &whole[..whole.len() / 2];
+    let lacking = r#"{"unix_ms":1,"event":"EV5012","route":"reads"}"#;
+    let report = LossReport::from_lines([whole.as_str(), cut, "no JSON", lacking, "{}"]);
+    assert_eq!(report.unreadable, 4);
+    assert!(
+        report
+            .faults
+            .iter()
+            .all(|fault| fault.starts_with("LS1013"))
+    );
+    assert_eq!(report.routes["reads"].counts.all(), 1);
+    assert!(report.to_string().contains("4 lines could not be read"));
+}
+
+#[test]
+fn the_picture_is_written_or_a_numbered_error_told() {
+    let late = Answer {
+        after_ms: 500,
+        took_ms: 500,
+        unix_ms: 14_000,
+        ..SOUND
+    };
+    let report = report(&[SOUND, late]);
+    let file = std::env::temp_dir().join(format!("losses-{}.svg", std::process::id()));
+    plot::write_svg(&report, &file).expect("written");
+    let picture = std::fs::read_to_string(&file).expect("a file");
+    std::fs::remove_file(&file).expect("removed");
+    assert!(picture.contains("first run") && picture.contains("polyline"));
+    let nowhere = std::path::Path::new("/nonexistent/losses.svg");
+    let fault = plot::write_svg(&report, nowhere).expect_err("no such directory");
+    assert!(fault.to_string().starts_with("LS1014"));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(17),
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever stands in a log, each line is counted once: as an end, as another line, or as
+    /// unreadable.
+    #[test]
+    fn any_text_is_read_without_harm(
+        garbage in proptest::collection::vec(any::<String>(), 0..20),
+        cut in 0_usize..300,
+        answers in 0_usize..20,
+    ) {
+        let whole = SOUND.text();
+        let cut: String = whole.chars().take(cut).collect();
+        let mut lines: Vec<&str> = garbage.iter().map(String::as_str).collect();
+        lines.extend(std::iter::repeat_n(whole.as_str(), answers));
+        lines.push(&cut);
+        let others = lines.iter().filter(|text| matches!(line::read(text), Ok(LossLine::Other))).count();
+        let report = LossReport::from_lines(lines.iter().copied());
+        let ended: u64 = report.routes.values().map(|route| route.counts.all()).sum();
+        prop_assert_eq!(ended + report.unreadable + others as u64, lines.len() as u64);
+        let windows: u64 = report.windows.values().map(LossCounts::all).sum();
+        prop_assert_eq!(windows, ended);
+    }
+}
