--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -141,6 +141,7 @@
     }
 }
 
+/// Free slots of all candidates together, as far as this host knows.
 fn free_slots(candidates: &[ChosenServer]) -> u32 {
     let free = candidates.iter().map(|candidate| {
         let free = f64::from(candidate.server.slots) - candidate.expected.load;
--- a/src/entry/region_shares.rs
+++ b/src/entry/region_shares.rs
@@ -53,12 +53,6 @@
         self.weights.values().copied().fold(1.0, f64::max)
     }
 
-    /// Whether regions don't matter.
-    #[must_use]
-    pub fn is_even(&self) -> bool {
-        self.weights.is_empty()
-    }
-
     /// Weights for the objects of the callers in region `own`.
     ///
     /// ```
