--- a/src/entry/ended_servers.rs
+++ b/src/entry/ended_servers.rs
@@ -14,6 +14,17 @@
 struct EndedServer {
     id: String,
     by: u64,
+    kind: EndKind,
+}
+
+/// How it is known that a server ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum EndKind {
+    /// The store removed its entry.
+    Removed,
+    /// Its entry lapsed and did not come back in time, as far as this host saw: it may have come
+    /// back before the count by which it was given up.
+    Lapsed,
 }
 
 /// The last servers that ended.
@@ -26,15 +37,16 @@
 
 impl EndedServers {
     /// The first list was read; nothing is known of what ended up to its count `revision`.
-    pub(super) const fn on_first_list(&mut self, revision: u64) {
-        self.told_from = revision;
+    pub(super) fn on_first_list(&mut self, revision: u64) {
+        self.told_from = self.told_from.max(revision);
     }
 
     /// A server is gone by the store's count `by`.
-    pub(super) fn on_ended(&mut self, id: &str, by: u64) {
+    pub(super) fn on_ended(&mut self, id: &str, by: u64, kind: EndKind) {
         self.servers.push_back(EndedServer {
             id: id.to_owned(),
             by,
+            kind,
         });
         if self.servers.len() > MAX_ENDED
             && let Some(forgotten) = self.servers.pop_front()
@@ -43,6 +55,13 @@
         }
     }
 
+    /// Whether the store removed a server's entry by its count `revision` or later: an entry of that
+    /// count is out of date.
+    pub(super) fn has_ended(&self, id: &str, revision: u64) -> bool {
+        let last = self.servers.iter().rev().find(|ended| ended.id == id);
+        last.is_some_and(|ended| ended.kind == EndKind::Removed && ended.by >= revision)
+    }
+
     /// The identities of those that ended past the store's count `since`; `None` when that is not
     /// known any more.
     pub(super) fn since(&self, since: u64) -> Option<impl Iterator<Item = &String>> {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -6,7 +6,7 @@
 
 use std::{collections, rc};
 
-use super::ended_servers::EndedServers;
+use super::ended_servers::{EndKind, EndedServers};
 use super::fleet_server::FleetServer;
 use super::server::{ServerObject, ServerRecord, ServerState};
 use super::settings::HallMap;
@@ -237,9 +237,14 @@
         let mut changes = Vec::new();
         let vanished = batch.iter().filter(|change| change.deleted);
         self.hold_if_many(vanished.map(|change| change.object.name.as_str()), now);
-        for change in batch {
+        // Ends within the batch are in order; those known before may be later than its entries.
+        let outdated: Vec<bool> = batch
+            .iter()
+            .map(|change| self.is_outdated(change))
+            .collect();
+        for (change, outdated) in batch.iter().zip(outdated) {
             let id = &change.object.name;
-            if self.knows_newer(id, change.object.revision) {
+            if outdated || self.knows_newer(id, change.object.revision) {
                 continue;
             }
             if change.deleted {
@@ -256,6 +261,14 @@
         changes
     }
 
+    /// Whether a change tells of an entry whose server is known to have ended later.
+    fn is_outdated(&self, change: &ObjectChange) -> bool {
+        !change.deleted
+            && self
+                .ended
+                .has_ended(&change.object.name, change.object.revision)
+    }
+
     /// The store's count has moved on and no server has changed.
     pub fn on_quiet(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
@@ -273,7 +286,8 @@
             return Vec::new();
         }
         let by = self.revision;
-        let changes = over.iter().filter_map(|id| self.end(id, by)).collect();
+        let end = EndKind::Lapsed;
+        let changes = over.iter().filter_map(|id| self.end(id, by, end)).collect();
         self.index();
         changes
     }
@@ -320,15 +334,15 @@
             let newly = server.on_missing(self.lapsing_until);
             return newly.then(|| FleetChange::Lapsed(id.to_owned()));
         }
-        self.end(id, by)
+        self.end(id, by, EndKind::Removed)
     }
 
-    fn end(&mut self, id: &str, by: u64) -> Option<FleetChange> {
+    fn end(&mut self, id: &str, by: u64, kind: EndKind) -> Option<FleetChange> {
         let server = self.servers.remove(id)?;
         self.records.remove(id);
         self.revisions.remove(id);
         server.on_gone();
-        self.ended.on_ended(id, by.max(self.revision));
+        self.ended.on_ended(id, by.max(self.revision), kind);
         Some(FleetChange::Gone(id.to_owned()))
     }
 
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -3,14 +3,15 @@
 //! Only a few hosts of each region watch the store; they pass on what they see. Each heartbeat
 //! tells how current its host is, so that one that missed a datagram finds out and catches up.
 
-use std::{cell, collections, net, rc, time};
+use std::{cell, net, rc, time};
 
 use serde_json::json;
 use tokio::net::UdpSocket;
 
 use super::fleet::ChangeSpan;
 use super::host::EntryHost;
-use super::peer_message::{self, FleetNews, HostNews, PeerHeartbeat, PeerMessage};
+use super::partial_news::PartialNewsList;
+use super::peer_message::{self, FleetNews, GoneHost, HostNews, PeerHeartbeat, PeerMessage};
 use super::peers::{HostRecord, PeerChange};
 use super::store::{ObjectChange, ObjectContent, StoredObject};
 use super::wire::WireProtocol;
@@ -24,21 +25,12 @@
 const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
 /// Every so many heartbeats carry the host's whole record.
 const RECORD_EVERY: u64 = 4;
-/// Half-received news that are remembered.
-const MAX_PARTIAL: usize = 64;
 
 /// The socket for datagrams, and news of which some parts are still missing.
 #[derive(Debug, Default)]
 pub struct PeerSocket {
     socket: cell::OnceCell<rc::Rc<UdpSocket>>,
-    partial: cell::RefCell<collections::VecDeque<PartialNews>>,
-}
-
-#[derive(Debug)]
-struct PartialNews {
-    host: String,
-    until: u64,
-    received: u32,
+    partial: cell::RefCell<PartialNewsList>,
 }
 
 /// Starts the tasks that speak to other hosts.
@@ -108,11 +100,12 @@
     let hold_ms = host.fleet.borrow().lapse_hold_ms(host.now());
     let targets = news_targets(host);
     let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
-    for part in parts {
+    for (number, part) in (0..).zip(parts) {
         let news = FleetNews {
             host: host.settings().name.clone(),
             since,
             until,
+            part: number,
             parts: count,
             hold_ms,
             changed: part.changed,
@@ -207,7 +200,7 @@
 
 pub(super) fn on_fleet_news<W: WireProtocol>(host: &EntryHost<W>, news: &FleetNews) {
     let now = host.now();
-    let whole = host.socket.is_whole(news);
+    let whole = host.socket.partial.borrow_mut().on_part(news);
     let mut fleet = host.fleet.borrow_mut();
     if news.hold_ms > 0 {
         fleet.hold_lapses(news.hold_ms, now);
@@ -238,37 +231,21 @@
     changed.chain(gone).collect()
 }
 
-impl PeerSocket {
-    /// Whether the last missing part of some news has come.
-    fn is_whole(&self, news: &FleetNews) -> bool {
-        if news.parts <= 1 {
-            return true;
-        }
-        let mut partial = self.partial.borrow_mut();
-        let known = partial
-            .iter_mut()
-            .find(|known| known.until == news.until && known.host == news.host);
-        if let Some(known) = known {
-            known.received += 1;
-            return known.received >= news.parts;
-        }
-        partial.push_back(PartialNews {
-            host: news.host.clone(),
-            until: news.until,
-            received: 1,
-        });
-        if partial.len() > MAX_PARTIAL {
-            partial.pop_front();
-        }
-        false
+fn on_host_news<W: WireProtocol>(host: &EntryHost<W>, news: &HostNews) {
+    learn_hosts(host, &news.joined);
+    for gone in &news.gone {
+        on_host_gone(host, gone);
     }
 }
 
-fn on_host_news<W: WireProtocol>(host: &EntryHost<W>, news: &HostNews) {
-    learn_hosts(host, &news.joined);
-    for name in &news.gone {
-        host.peers.borrow_mut().on_removed(name);
+/// The entry of a run of a host is gone from the store. If it is this run's, the others took it for
+/// dead while it was silent: the entry is written again.
+pub fn on_host_gone<W: WireProtocol>(host: &EntryHost<W>, gone: &GoneHost) {
+    if gone.name == host.settings().name {
+        host.on_own_entry_gone(gone.run);
+        return;
     }
+    host.peers.borrow_mut().on_removed(&gone.name, gone.run);
 }
 
 /// Meets hosts that others or the store name.
--- a/src/entry/host_entries.rs
+++ b/src/entry/host_entries.rs
@@ -14,6 +14,9 @@
 
 /// Hosts that have been silent are looked for this often.
 const SWEEP: time::Duration = time::Duration::from_secs(5);
+/// How often a host looks whether its own entry must be written again: well within the time for
+/// which it can be silent before the others remove it.
+const OWN_ENTRY_CHECK: time::Duration = time::Duration::from_secs(1);
 
 /// Starts the tasks that write and remove entries.
 pub(super) fn spawn<W: WireProtocol, S: ObjectStore>(
@@ -24,24 +27,47 @@
     tokio::task::spawn_local(sweep(rc::Rc::clone(host), rc::Rc::clone(store)));
 }
 
-/// Writes this host's own entry, by which the others meet it.
+/// Writes this host's own entry, by which the others meet it, and again whenever it is gone.
 async fn register<W: WireProtocol, S: ObjectStore>(host: rc::Rc<EntryHost<W>>, store: rc::Rc<S>) {
+    while !host.is_leaving() {
+        if host.own_entry.get().is_none() && write_until_done(&host, &*store).await.is_none() {
+            return;
+        }
+        tokio::time::sleep(OWN_ENTRY_CHECK).await;
+    }
+}
+
+/// Tries to write the own entry until it stands; `None` if it must not be written any more.
+async fn write_until_done<W: WireProtocol, S: ObjectStore>(
+    host: &EntryHost<W>,
+    store: &S,
+) -> Option<()> {
     let mut pause_ms = follow::FIRST_PAUSE_MS;
     while !host.is_leaving() {
-        match within_limit(write_own(&host.record(), &*store)).await {
+        match within_limit(write_own(&host.record(), store)).await {
             Ok(OwnEntry::Written(revision)) => {
                 host.own_entry.set(Some(revision));
-                return;
+                return Some(());
             }
-            Ok(OwnEntry::LaterRun) => return,
+            Ok(OwnEntry::LaterRun) => return None,
             Err(fault) => {
                 let fields = json!({ "fault": fault.to_string() });
                 host.note(EventCode::EntryNotWritten, fields);
             }
         }
-        follow::pause_up_to(&host, pause_ms).await;
+        follow::pause_up_to(host, pause_ms).await;
         pause_ms = (pause_ms * 2).min(follow::MAX_PAUSE_MS);
     }
+    None
+}
+
+impl<W: WireProtocol> EntryHost<W> {
+    /// The own entry of `run` is gone from the store. An earlier run's end changes nothing.
+    pub(super) fn on_own_entry_gone(&self, run: u64) {
+        if run >= self.run && !self.is_leaving() {
+            self.own_entry.set(None);
+        }
+    }
 }
 
 /// What came of writing a host's own entry.
@@ -102,7 +128,7 @@
         for record in silent {
             match within_limit(remove_run(&record, &*store)).await {
                 Ok(()) | Err(StoreFault::Absent) => {
-                    host.peers.borrow_mut().on_removed(&record.name);
+                    host.peers.borrow_mut().on_removed(&record.name, record.run);
                     host.note(EventCode::MemberDied, json!({ "peer": record.name }));
                 }
                 // It has changed meanwhile, so its host lives again.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -40,6 +40,7 @@
 pub mod offer_record;
 mod offers;
 mod open_request;
+pub mod partial_news;
 pub mod peer_message;
 pub mod peers;
 pub mod pool;
--- /dev/null
+++ b/src/entry/partial_news.rs
@@ -0,0 +1,57 @@
+//! News of servers that come in several datagrams, until the last part is there.
+
+use std::collections;
+
+use super::peer_message::FleetNews;
+
+/// Half-received news that are remembered.
+const MAX_PARTIAL: usize = 64;
+
+/// News of which some parts are still missing, the oldest first.
+#[derive(Debug, Default)]
+pub struct PartialNewsList {
+    news: collections::VecDeque<PartialNews>,
+}
+
+#[derive(Debug)]
+struct PartialNews {
+    host: String,
+    until: u64,
+    /// The numbers of the parts that came: the network may bring one twice.
+    parts: collections::BTreeSet<u32>,
+}
+
+impl PartialNewsList {
+    /// A part came; returns whether all parts of its news are there now.
+    ///
+    /// ```
+    /// use ledgespool::entry::partial_news::PartialNewsList;
+    /// use ledgespool::entry::peer_message::FleetNews;
+    /// let part = |part| FleetNews { part, parts: 2, ..FleetNews::default() };
+    /// let mut list = PartialNewsList::default();
+    /// assert!(!list.on_part(&part(0)) && !list.on_part(&part(0)));
+    /// assert!(list.on_part(&part(1)));
+    /// ```
+    pub fn on_part(&mut self, news: &FleetNews) -> bool {
+        if news.parts <= 1 {
+            return true;
+        }
+        let known = self
+            .news
+            .iter_mut()
+            .find(|known| known.until == news.until && known.host == news.host);
+        if let Some(known) = known {
+            known.parts.insert(news.part);
+            return known.parts.len() as u64 >= u64::from(news.parts);
+        }
+        self.news.push_back(PartialNews {
+            host: news.host.clone(),
+            until: news.until,
+            parts: [news.part].into(),
+        });
+        if self.news.len() > MAX_PARTIAL {
+            self.news.pop_front();
+        }
+        false
+    }
+}
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -9,7 +9,7 @@
 
 /// The number of the format. Hosts pass over messages of another one, so that two versions of the
 /// program can run side by side while it is replaced.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// Why a message of another host could not be understood.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -127,7 +127,7 @@
 }
 
 /// Changes of servers that a watcher has seen, or a part of them.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
 pub struct FleetNews {
     /// Who says it.
     pub host: String,
@@ -135,6 +135,8 @@
     pub since: u64,
     /// The store's count behind these.
     pub until: u64,
+    /// The number of this part, from 0.
+    pub part: u32,
     /// How many parts these changes come in.
     pub parts: u32,
     /// How long entries that went missing are kept, in milliseconds, since they may have lapsed.
@@ -150,8 +152,17 @@
 pub struct HostNews {
     /// Who came.
     pub joined: Vec<HostRecord>,
-    /// Names of those whose entries are gone.
-    pub gone: Vec<String>,
+    /// Those whose entries are gone.
+    pub gone: Vec<GoneHost>,
+}
+
+/// A run of a host whose entry is gone from the store.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct GoneHost {
+    /// The host's name.
+    pub name: String,
+    /// Its run: a later one of the same host may have been met meanwhile.
+    pub run: u64,
 }
 
 /// Everything that a host can tell another whom the store does not answer.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -168,10 +168,19 @@
         }
     }
 
-    /// A host's entry is gone from the store.
-    pub fn on_removed(&mut self, name: &str) {
-        self.peers.remove(name);
-        self.rehash();
+    /// The entry of a host's run is gone from the store. Word of an earlier run's end may come late.
+    pub fn on_removed(&mut self, name: &str, run: u64) {
+        let known = self.peers.get(name);
+        if known.is_some_and(|known| known.record.run <= run) {
+            self.peers.remove(name);
+            self.rehash();
+        }
+    }
+
+    /// The run of a host that is known; 0 for none.
+    #[must_use]
+    pub fn run_of(&self, name: &str) -> u64 {
+        self.peers.get(name).map_or(0, |peer| peer.record.run)
     }
 
     fn rehash(&mut self) {
--- a/src/entry/self_report.rs
+++ b/src/entry/self_report.rs
@@ -56,6 +56,7 @@
             host: self.settings().name.clone(),
             since,
             until: fleet.revision(),
+            part: 0,
             parts: 1,
             hold_ms: fleet.lapse_hold_ms(self.now()),
             changed: difference.changed,
--- a/src/entry/store_news.rs
+++ b/src/entry/store_news.rs
@@ -5,7 +5,7 @@
 use super::fleet::ChangeSpan;
 use super::gossip;
 use super::host::EntryHost;
-use super::peer_message::HostNews;
+use super::peer_message::{GoneHost, HostNews};
 use super::store::{ChangeBatch, ObjectContent, ObjectKind, StoredObject};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
@@ -82,9 +82,9 @@
     };
     for change in &batch.changes {
         if change.deleted {
-            let mut peers = host.peers.borrow_mut();
-            peers.on_removed(&change.object.name);
-            news.gone.push(change.object.name.clone());
+            let gone = gone_host(host, &change.object);
+            gossip::on_host_gone(host, &gone);
+            news.gone.push(gone);
         } else if let ObjectContent::Host(record) = &change.object.content {
             news.joined.push(record.clone());
         }
@@ -93,6 +93,20 @@
     gossip::pass_on_hosts(host, news);
 }
 
+/// The run whose entry is gone: as the store tells, else the one that is known.
+fn gone_host<W: WireProtocol>(host: &EntryHost<W>, object: &StoredObject) -> GoneHost {
+    let run = match &object.content {
+        ObjectContent::Host(record) => record.run,
+        // A host knows itself not from the table.
+        _ if object.name == host.settings().name => host.run,
+        _ => host.peers.borrow().run_of(&object.name),
+    };
+    GoneHost {
+        name: object.name.clone(),
+        run,
+    }
+}
+
 fn on_configuration<W: WireProtocol>(host: &EntryHost<W>, object: &StoredObject) {
     match &object.content {
         ObjectContent::Configuration(configuration) => {
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -430,3 +430,41 @@
         }
     }
 }
+
+/// Word of an end may overtake that of the change before it, while others between are missing.
+#[test]
+fn a_late_entry_does_not_bring_an_ended_server_back() {
+    let mut fleet = Fleet::default();
+    fleet.on_list(&[object("a", 3), object("b", 4)], 5, &halls(), Moment(0));
+    let gap = |until| ChangeSpan {
+        until,
+        contiguous: false,
+    };
+    let end = change(object("a", 12), true);
+    fleet.on_changes(&[end], gap(12), &halls(), Moment(1));
+    assert_eq!(ids(&fleet), ["b"]);
+    let late = change(object("a", 9), false);
+    fleet.on_changes(&[late], gap(9), &halls(), Moment(2));
+    assert_eq!(ids(&fleet), ["b"], "it ended after that entry");
+    let back = change(object("a", 14), false);
+    fleet.on_changes(&[back], gap(14), &halls(), Moment(3));
+    assert_eq!(ids(&fleet), ["a", "b"], "a later entry counts");
+}
+
+/// More servers ended before the first list than are remembered: hosts that ask for what lies
+/// before must be told to read the whole list.
+#[test]
+fn the_first_list_does_not_forget_that_ends_were_forgotten() {
+    let mut fleet = Fleet::default();
+    for number in 0..1_100_u64 {
+        let id = format!("s-{number}");
+        let born = change(object(&id, 2 * number + 10), false);
+        let gone = change(object(&id, 2 * number + 11), true);
+        let now = Moment(number);
+        fleet.on_changes(&[born, gone], span(2 * number + 11), &halls(), now);
+    }
+    // The first 76 are forgotten, the last of them gone by count 161; the list is older.
+    fleet.on_list(&[object("z", 5)], 100, &halls(), Moment(9_000));
+    assert!(fleet.changes_since(120).is_none());
+    assert!(fleet.changes_since(2_300).is_some());
+}
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -364,3 +364,17 @@
         let _read = peer_message::from_bytes::<PeerMessage>(&bytes);
     }
 }
+
+#[test]
+fn late_word_of_an_earlier_runs_end_does_not_remove_the_later_run() {
+    let mut peers = PeerTable::default();
+    let later = HostRecord {
+        run: 7,
+        ..host("b", "one", 200)
+    };
+    peers.on_record(&later, Moment(0));
+    peers.on_removed("b", 6);
+    assert_eq!(peers.run_of("b"), 7);
+    peers.on_removed("b", 7);
+    assert_eq!(peers.run_of("b"), 0);
+}
