--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -23,7 +23,7 @@
 /// With less time left than this, in milliseconds, a request is not offered: no answer would come
 /// back in time.
 const LEAST_TIME_MS: u64 = 20;
-/// When a request may come back that only servers with free slots have turned away, in
+/// When a request may come back whose last refusal came from a server with free slots, in
 /// milliseconds: at once, since nothing must become free first.
 const SHED_COME_BACK_MS: u64 = 10;
 
