Keep nothing that is missing from the first answer after a late noticed return, unless it is many

In the first answer after a call that hung (up to 6 s) a removal may be that old already, so its age and the hold add up: over the 2.0 s of a leaving server by the constants.

Change: a return seen late (the failed call began over 2.5 s before) says nothing of what the first answer lacks; it is gone, unless so many are missing that they have surely lapsed (at least three and a quarter of those that serve). What goes missing after that answer is fresh and is kept as before.

Tests: the one of the late noticed return now demands the end at once instead of within the bound, which is stricter; a new one holds that a group is kept.

--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -8,7 +8,7 @@
 
 use super::ended_servers::{EndKind, EndedServers};
 use super::fleet_server::FleetServer;
-use super::lapse_hold::{HoldReason, LapseHold, MissingSource};
+use super::lapse_hold::{HoldReason, LapseHold, MissingSource, ReturnSight};
 use super::peer_message::GoneServer;
 use super::server::{ServerObject, ServerRecord, ServerState};
 use super::settings::HallMap;
@@ -158,10 +158,10 @@
         self.lapses.set_leave_ms(leave_ms);
     }
 
-    /// The store was away and answers again: entries that go missing now have perhaps only lapsed,
-    /// and those missing by its count `lapsed_by` surely have.
-    pub fn on_store_return(&mut self, lapsed_by: Option<u64>, now: Moment) {
-        self.lapses.on_store_return(lapsed_by, now);
+    /// The store was away and answers again, first with its count `revision`: entries that go missing
+    /// now have perhaps only lapsed.
+    pub fn on_store_return(&mut self, sight: ReturnSight, revision: u64, now: Moment) {
+        self.lapses.on_store_return(sight, revision, now);
     }
 
     /// Servers that are kept although their entries are missing, and for how much longer.
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 
 use super::host::EntryHost;
+use super::lapse_hold::ReturnSight;
 use super::store::{ObjectKind, ObjectStore, StoreFault, StoreResult};
 use super::store_news;
 use super::wire::WireProtocol;
@@ -217,14 +218,18 @@
             "last_failed_ms": self.last_failed.map(since),
         });
         self.host.note(EventCode::PlatformFound, fields);
-        if self.kind == ObjectKind::Servers {
+        if let (ObjectKind::Servers, Some(revision)) = (self.kind, revision) {
             let now = self.host.now();
-            let seen_in_time = self
-                .last_failed
-                .is_some_and(|failed| now.since(failed) <= RETURN_SEEN_MS);
-            let lapsed_by = revision.filter(|_| seen_in_time);
+            let sight = self.return_sight(now);
             let mut fleet = self.host.fleet.borrow_mut();
-            fleet.on_store_return(lapsed_by, now);
+            fleet.on_store_return(sight, revision, now);
+        }
+    }
+
+    fn return_sight(&self, now: Moment) -> ReturnSight {
+        match self.last_failed {
+            Some(failed) if now.since(failed) <= RETURN_SEEN_MS => ReturnSight::InTime,
+            _ => ReturnSight::Late,
         }
     }
 
--- a/src/entry/lapse_hold.rs
+++ b/src/entry/lapse_hold.rs
@@ -60,6 +60,16 @@
     pub reason: HoldReason,
 }
 
+/// How the store's return was seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReturnSight {
+    /// A call failed shortly before: what is missing from the first answer went missing while the
+    /// store was away.
+    InTime,
+    /// The call that failed had hung for long: what is missing may have left at any time since.
+    Late,
+}
+
 /// Decides whether a server is kept whose entry the store does not show any more.
 #[derive(Debug)]
 pub struct LapseHold {
@@ -67,6 +77,8 @@
     until: Moment,
     /// What went missing up to this count of the store did so while the store was away.
     lapsed_by: u64,
+    /// What went missing up to this count may have done so long ago.
+    unsure_by: u64,
     reason: HoldReason,
 }
 
@@ -76,6 +88,7 @@
             leave_ms: DEFAULT_LEAVE_MS,
             until: Moment(0),
             lapsed_by: 0,
+            unsure_by: 0,
             reason: HoldReason::default(),
         }
     }
@@ -87,16 +100,20 @@
         self.leave_ms = leave_ms;
     }
 
-    /// The store was away and answers again at `now`. What went missing up to its count `lapsed_by`
-    /// did so while it was away; `None` when its return may have been noticed late.
-    pub fn on_store_return(&mut self, lapsed_by: Option<u64>, now: Moment) {
+    /// The store was away and answers again at `now`, first with its count `revision`.
+    pub fn on_store_return(&mut self, sight: ReturnSight, revision: u64, now: Moment) {
         self.open(now.plus(LAPSE_GRACE_MS), HoldReason::StoreReturned);
-        self.lapsed_by = lapsed_by.unwrap_or(self.lapsed_by);
+        match sight {
+            ReturnSight::InTime => self.lapsed_by = revision,
+            ReturnSight::Late => self.unsure_by = revision,
+        }
     }
 
-    /// So many servers vanished at `now` that the store was perhaps away, unnoticed.
+    /// So many servers vanished at `now` that the store was perhaps away, unnoticed. So many do not
+    /// leave at the same time, so they did not leave long ago either.
     pub fn on_many_vanished(&mut self, now: Moment) {
         self.open(now.plus(LAPSE_GRACE_MS), HoldReason::ManyVanished);
+        self.unsure_by = 0;
     }
 
     /// Another host keeps a server until then.
@@ -115,12 +132,12 @@
     /// `None` when it is gone.
     ///
     /// ```
-    /// use ledgespool::entry::lapse_hold::{LAPSE_GRACE_MS, LapseHold};
+    /// use ledgespool::entry::lapse_hold::{LAPSE_GRACE_MS, LapseHold, ReturnSight};
     /// use ledgespool::timer::Moment;
     /// let mut lapses = LapseHold::default();
     /// lapses.set_leave_ms(2_000);
     /// assert!(lapses.server_hold(5, Moment(0)).is_none());
-    /// lapses.on_store_return(Some(5), Moment(0));
+    /// lapses.on_store_return(ReturnSight::InTime, 5, Moment(0));
     /// let until = |by| lapses.server_hold(by, Moment(0)).map(|hold| hold.until);
     /// assert_eq!(until(5), Some(Moment(LAPSE_GRACE_MS)));
     /// assert_eq!(until(6), Some(Moment(1_400)), "it may be leaving");
@@ -130,6 +147,8 @@
         let leaving_until = now.plus(self.leave_ms.saturating_sub(WORD_MS));
         let until = if by <= self.lapsed_by {
             self.until
+        } else if by <= self.unsure_by {
+            return None;
         } else {
             self.until.min(leaving_until)
         };
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -2,7 +2,7 @@
 
 use ledgespool::entry::budget::{ColdShare, RetryShare, RetryWindow};
 use ledgespool::entry::fleet::{ChangeSpan, Fleet, FleetChange};
-use ledgespool::entry::lapse_hold::{LAPSE_GRACE_MS, MissingSource, ToldHolds};
+use ledgespool::entry::lapse_hold::{LAPSE_GRACE_MS, MissingSource, ReturnSight, ToldHolds};
 use ledgespool::entry::news_part;
 use ledgespool::entry::peer_message::GoneServer;
 use ledgespool::entry::server::{ServerLoad, ServerRecord, ServerState};
@@ -156,7 +156,7 @@
         &halls(),
         Moment(0),
     );
-    fleet.on_store_return(Some(9), Moment(1_000));
+    fleet.on_store_return(ReturnSight::InTime, 9, Moment(1_000));
     let noted = fleet.on_list(&[], 9, MissingSource::Store, &halls(), Moment(1_000));
     assert_eq!(noted.len(), 2);
     assert_eq!(ids(&fleet), ["a", "b"]);
@@ -330,7 +330,7 @@
         &halls(),
         Moment(0),
     );
-    fleet.on_store_return(Some(9), Moment(1_000));
+    fleet.on_store_return(ReturnSight::InTime, 9, Moment(1_000));
     fleet.on_changes(
         &[change(object("a", 3), true)],
         span(9),
@@ -411,7 +411,7 @@
 #[test]
 fn what_goes_missing_after_the_stores_return_is_kept_for_less_than_a_leaving_server_serves() {
     let (mut fleet, servers) = twelve_servers();
-    fleet.on_store_return(Some(9), Moment(1_000));
+    fleet.on_store_return(ReturnSight::InTime, 9, Moment(1_000));
     // This one went missing while the store was away.
     fleet.on_changes(
         &ends(&servers[..1]),
@@ -435,20 +435,49 @@
     assert_eq!(moments.map(gone), [0, 1, 1]);
 }
 
-/// The return was noticed long after it, so what is missing may have left since.
+/// The return was noticed long after it, so what is missing from the first answer may have left since.
 #[test]
-fn a_return_that_is_noticed_late_does_not_prove_a_lapse() {
+fn a_return_that_is_noticed_late_keeps_only_what_goes_missing_after_it() {
     let (mut fleet, servers) = twelve_servers();
-    fleet.on_store_return(None, Moment(1_000));
+    fleet.on_store_return(ReturnSight::Late, 9, Moment(1_000));
+    let at_first = ends(&servers[..1]);
     fleet.on_changes(
-        &ends(&servers[..1]),
+        &at_first,
+        span(9),
+        MissingSource::Store,
+        &halls(),
+        Moment(1_000),
+    );
+    assert_eq!(ids(&fleet).len(), 11, "it may have left long ago");
+    let later = ends(&servers[1..2]);
+    fleet.on_changes(
+        &later,
+        span(10),
+        MissingSource::Store,
+        &halls(),
+        Moment(1_100),
+    );
+    assert_eq!(ids(&fleet).len(), 11, "it may have lapsed");
+    fleet.on_tick(Moment(1_100 + LEAVE_MS - 300));
+    assert_eq!(ids(&fleet).len(), 10);
+}
+
+/// So many do not leave at once: they have lapsed, though the return was noticed late.
+#[test]
+fn a_group_that_is_missing_at_a_late_noticed_return_is_kept_for_a_moment() {
+    let (mut fleet, servers) = twelve_servers();
+    fleet.on_store_return(ReturnSight::Late, 9, Moment(1_000));
+    let at_first = ends(&servers[..6]);
+    fleet.on_changes(
+        &at_first,
         span(9),
         MissingSource::Store,
         &halls(),
         Moment(1_000),
     );
+    assert_eq!(ids(&fleet).len(), 12);
     fleet.on_tick(Moment(1_000 + LEAVE_MS - 300));
-    assert_eq!(ids(&fleet).len(), 11);
+    assert_eq!(ids(&fleet).len(), 6);
 }
 
 #[test]
