--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -7,10 +7,10 @@
 use std::{collections, rc};
 
 use super::ended_servers::{EndKind, EndedServers};
+use super::fleet_change::{ChangeSpan, FleetChange, LapsedServer};
 use super::fleet_server::FleetServer;
-use super::lapse_hold::{HoldReason, LapseHold, MissingSource, ReturnSight};
-use super::peer_message::GoneServer;
-use super::server::{ServerObject, ServerRecord, ServerState};
+use super::lapse_hold::{LapseHold, MissingSource, ReturnSight};
+use super::server::{ServerRecord, ServerState};
 use super::settings::HallMap;
 use super::store::{ObjectChange, ObjectContent, StoredObject};
 use crate::timer::Moment;
@@ -23,59 +23,15 @@
 /// its servers would not take work if they were kept.
 const LAPSE_ONE_OF: usize = 4;
 
-/// What a change did to the fleet, for the log.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FleetChange {
-    /// A new incarnation.
-    Joined(String),
-    /// It takes no new work.
-    Draining(String),
-    /// Its entry went missing and has perhaps only lapsed; it is kept for a moment.
-    Lapsed(LapsedServer),
-    /// It is gone.
-    Gone(String),
-    /// An entry could not be understood.
-    Unreadable(String),
-}
-
-/// A server that is kept although its entry went missing.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LapsedServer {
-    /// Its identity.
-    pub id: String,
-    /// How much longer it is kept, in milliseconds.
-    pub hold_ms: u64,
-    /// Why it is kept.
-    pub reason: HoldReason,
-}
-
-/// How far some changes of servers bring a host.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ChangeSpan {
-    /// The store's count behind the last of them.
-    pub until: u64,
-    /// Whether nothing between what the host knew and that count can be missing.
-    pub contiguous: bool,
-}
-
-/// What has changed between two counts of the store.
-#[derive(Debug, Clone, PartialEq)]
-pub struct FleetDifference {
-    /// Servers that came or changed, as they stand.
-    pub changed: Vec<ServerObject>,
-    /// Those that are gone, or kept for a moment.
-    pub gone: Vec<GoneServer>,
-}
-
 /// All servers that this host knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    servers: collections::HashMap<String, rc::Rc<FleetServer>>,
-    records: collections::HashMap<String, ServerRecord>,
-    revisions: collections::HashMap<String, u64>,
+    pub(super) servers: collections::HashMap<String, rc::Rc<FleetServer>>,
+    pub(super) records: collections::HashMap<String, ServerRecord>,
+    pub(super) revisions: collections::HashMap<String, u64>,
     by_service: collections::HashMap<String, Vec<rc::Rc<FleetServer>>>,
     /// The last that ended, for hosts that missed it.
-    ended: EndedServers,
+    pub(super) ended: EndedServers,
     revision: u64,
     changed: u64,
     lapses: LapseHold,
@@ -100,40 +56,6 @@
         self.servers.values()
     }
 
-    /// Every server as the store holds it, for other hosts. One whose entry has perhaps only lapsed
-    /// is left out: they could not see when its time is over.
-    pub fn objects(&self) -> impl Iterator<Item = ServerObject> {
-        let present = self.records.values().filter(|record| {
-            let server = self.servers.get(&record.id);
-            server.is_some_and(|server| server.missing_until().is_none())
-        });
-        present.map(|record| ServerObject {
-            record: record.clone(),
-            revision: self.revisions.get(&record.id).copied().unwrap_or(0),
-        })
-    }
-
-    /// What has changed past the store's count `since`; `None` when that is not known any more.
-    #[must_use]
-    pub fn changes_since(&self, since: u64, now: Moment) -> Option<FleetDifference> {
-        if !self.listed {
-            return None;
-        }
-        // One whose entry lapsed and came back is there again.
-        let ended = self.ended.since(since)?.filter(|id| !self.knows(id));
-        let ended = ended.map(|id| GoneServer {
-            id: id.clone(),
-            hold_ms: 0,
-        });
-        // When its time is over, a lapsed server ends without a change in the store.
-        let gone = ended.chain(self.kept(now));
-        let is_newer = |object: &ServerObject| object.revision > since;
-        Some(FleetDifference {
-            changed: self.objects().filter(is_newer).collect(),
-            gone: gone.collect(),
-        })
-    }
-
     /// Whether the whole list was read at least once.
     #[must_use]
     pub const fn is_listed(&self) -> bool {
@@ -164,23 +86,6 @@
         self.lapses.on_store_return(sight, revision, now);
     }
 
-    /// Servers that are kept although their entries are missing, and for how much longer.
-    pub fn kept(&self, now: Moment) -> impl Iterator<Item = GoneServer> {
-        self.servers.values().filter_map(move |server| {
-            let id = server.id.clone();
-            let hold_ms = server.missing_until()?.since(now);
-            Some(GoneServer { id, hold_ms })
-        })
-    }
-
-    /// How much longer a server is kept whose entry is missing, in milliseconds; 0 when it is gone.
-    #[must_use]
-    pub fn kept_ms(&self, id: &str, now: Moment) -> u64 {
-        let server = self.servers.get(id);
-        let until = server.and_then(|server| server.missing_until());
-        until.map_or(0, |until| until.since(now))
-    }
-
     /// Takes over a whole list.
     pub fn on_list(
         &mut self,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 use tokio::net::UdpSocket;
 
-use super::fleet::ChangeSpan;
+use super::fleet_change::ChangeSpan;
 use super::host::EntryHost;
 use super::lapse_hold::{MissingSource, ToldHolds};
 use super::partial_news::PartialNewsList;
--- a/src/entry/host_fleet.rs
+++ b/src/entry/host_fleet.rs
@@ -3,7 +3,7 @@
 
 use serde_json::json;
 
-use super::fleet::{ChangeSpan, FleetChange};
+use super::fleet_change::{ChangeSpan, FleetChange};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::lapse_hold::MissingSource;
--- a/src/entry/store_news.rs
+++ b/src/entry/store_news.rs
@@ -2,7 +2,7 @@
 
 use serde_json::json;
 
-use super::fleet::ChangeSpan;
+use super::fleet_change::ChangeSpan;
 use super::gossip;
 use super::host::EntryHost;
 use super::lapse_hold::MissingSource;
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -1,7 +1,8 @@
 //! What an entry host believes of servers, under any order of news.
 
 use ledgespool::entry::budget::{ColdShare, RetryShare, RetryWindow};
-use ledgespool::entry::fleet::{ChangeSpan, Fleet, FleetChange};
+use ledgespool::entry::fleet::Fleet;
+use ledgespool::entry::fleet_change::{ChangeSpan, FleetChange};
 use ledgespool::entry::lapse_hold::{LAPSE_GRACE_MS, MissingSource, ReturnSight, ToldHolds};
 use ledgespool::entry::news_part;
 use ledgespool::entry::peer_message::GoneServer;
@@ -57,6 +58,32 @@
     }
 }
 
+/// The store shows a whole list at `at` milliseconds.
+fn show_list(
+    fleet: &mut Fleet,
+    objects: &[StoredObject],
+    revision: u64,
+    at: u64,
+) -> Vec<FleetChange> {
+    fleet.on_list(
+        objects,
+        revision,
+        MissingSource::Store,
+        &halls(),
+        Moment(at),
+    )
+}
+
+/// The store shows changes at `at` milliseconds.
+fn show_changes(
+    fleet: &mut Fleet,
+    changes: &[ObjectChange],
+    span: ChangeSpan,
+    at: u64,
+) -> Vec<FleetChange> {
+    fleet.on_changes(changes, span, MissingSource::Store, &halls(), Moment(at))
+}
+
 fn ids(fleet: &Fleet) -> Vec<String> {
     fleet
         .of_service("desk")
@@ -68,13 +95,7 @@
 #[test]
 fn a_list_and_changes_make_the_fleet() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3), object("b", 4)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3), object("b", 4)], 5, 0);
     assert_eq!(ids(&fleet), ["a", "b"]);
     let mut draining = object("a", 6);
     draining.content = ObjectContent::Server(record("a", ServerState::Draining, 0));
@@ -83,7 +104,7 @@
         change(object("b", 4), true),
         change(object("c", 8), false),
     ];
-    let noted = fleet.on_changes(&changes, span(8), MissingSource::Store, &halls(), Moment(1));
+    let noted = show_changes(&mut fleet, &changes, span(8), 1);
     assert_eq!(
         noted,
         [
@@ -101,72 +122,41 @@
 fn a_deletion_counts_after_a_snapshot_although_it_names_the_old_revision() {
     let mut fleet = Fleet::default();
     // A snapshot at 20 holds a record that last changed at 3; the store shows its end with 3 too.
-    fleet.on_list(
-        &[object("a", 3)],
-        20,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
-    fleet.on_changes(
-        &[change(object("a", 3), true)],
-        span(25),
-        MissingSource::Store,
-        &halls(),
-        Moment(1),
-    );
+    show_list(&mut fleet, &[object("a", 3)], 20, 0);
+    show_changes(&mut fleet, &[change(object("a", 3), true)], span(25), 1);
     assert!(ids(&fleet).is_empty());
 }
 
 #[test]
 fn a_change_from_before_the_list_brings_nothing_back() {
     let mut fleet = Fleet::default();
-    fleet.on_list(&[], 20, MissingSource::Store, &halls(), Moment(0));
-    fleet.on_changes(
-        &[change(object("a", 7), false)],
-        span(20),
-        MissingSource::Store,
-        &halls(),
-        Moment(1),
-    );
+    show_list(&mut fleet, &[], 20, 0);
+    show_changes(&mut fleet, &[change(object("a", 7), false)], span(20), 1);
     assert!(ids(&fleet).is_empty());
 }
 
 #[test]
 fn an_older_list_changes_nothing() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3)],
-        20,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
-    fleet.on_list(&[], 10, MissingSource::Store, &halls(), Moment(1));
+    show_list(&mut fleet, &[object("a", 3)], 20, 0);
+    show_list(&mut fleet, &[], 10, 1);
     assert_eq!(ids(&fleet), ["a"]);
 }
 
 #[test]
 fn missing_entries_are_kept_for_a_moment_after_the_store_was_away() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3), object("b", 4)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3), object("b", 4)], 5, 0);
     fleet.on_store_return(ReturnSight::InTime, 9, Moment(1_000));
-    let noted = fleet.on_list(&[], 9, MissingSource::Store, &halls(), Moment(1_000));
+    let noted = show_list(&mut fleet, &[], 9, 1_000);
     assert_eq!(noted.len(), 2);
     assert_eq!(ids(&fleet), ["a", "b"]);
     // One is back in time, the other is gone.
-    fleet.on_changes(
+    show_changes(
+        &mut fleet,
         &[change(object("a", 11), false)],
         span(11),
-        MissingSource::Store,
-        &halls(),
-        Moment(2_000),
+        2_000,
     );
     assert!(fleet.on_tick(Moment(1_000 + LAPSE_GRACE_MS - 1)).is_empty());
     let noted = fleet.on_tick(Moment(1_000 + LAPSE_GRACE_MS));
@@ -181,15 +171,9 @@
         fleet.changes_since(0, Moment(10_000)).is_none(),
         "nothing is known yet"
     );
-    fleet.on_list(
-        &[object("a", 3), object("b", 4)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3), object("b", 4)], 5, 0);
     let changes = [change(object("b", 4), true), change(object("c", 8), false)];
-    fleet.on_changes(&changes, span(8), MissingSource::Store, &halls(), Moment(1));
+    show_changes(&mut fleet, &changes, span(8), 1);
     assert!(
         fleet.changes_since(4, Moment(10_000)).is_none(),
         "what ended before the first list is not known"
@@ -208,15 +192,9 @@
 #[test]
 fn a_server_that_lapsed_and_came_back_is_not_told_as_gone() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3), object("b", 4)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3), object("b", 4)], 5, 0);
     let changes = [change(object("a", 3), true), change(object("a", 9), false)];
-    fleet.on_changes(&changes, span(9), MissingSource::Store, &halls(), Moment(1));
+    show_changes(&mut fleet, &changes, span(9), 1);
     assert_eq!(ids(&fleet), ["a", "b"]);
     let told = fleet.changes_since(5, Moment(10_000)).expect("it is known");
     assert!(told.gone.is_empty(), "{told:?}");
@@ -229,41 +207,17 @@
 #[test]
 fn an_end_that_is_told_late_does_not_undo_a_return() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3)], 5, 0);
     // The return at 9 has come by another way before the end, which lies somewhere up to 8.
-    fleet.on_changes(
-        &[change(object("a", 9), false)],
-        span(9),
-        MissingSource::Store,
-        &halls(),
-        Moment(1),
-    );
-    fleet.on_changes(
-        &[change(object("a", 8), true)],
-        span(8),
-        MissingSource::Store,
-        &halls(),
-        Moment(2),
-    );
+    show_changes(&mut fleet, &[change(object("a", 9), false)], span(9), 1);
+    show_changes(&mut fleet, &[change(object("a", 8), true)], span(8), 2);
     assert_eq!(ids(&fleet), ["a"]);
 }
 
 #[test]
 fn a_list_does_not_undo_what_was_seen_after_it() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3)], 5, 0);
     let early = ChangeSpan {
         until: 12,
         contiguous: false,
@@ -278,14 +232,8 @@
             false,
         ),
     ];
-    fleet.on_changes(&changes, early, MissingSource::Store, &halls(), Moment(1));
-    fleet.on_list(
-        &[object("a", 3)],
-        10,
-        MissingSource::Store,
-        &halls(),
-        Moment(2),
-    );
+    show_changes(&mut fleet, &changes, early, 1);
+    show_list(&mut fleet, &[object("a", 3)], 10, 2);
     assert_eq!(ids(&fleet), ["a", "b"]);
     assert!(
         !fleet.of_service("desk")[0].takes_work(),
@@ -296,25 +244,13 @@
 #[test]
 fn ends_that_were_forgotten_are_not_told_as_if_there_were_none() {
     let mut fleet = Fleet::default();
-    fleet.on_list(&[], 1, MissingSource::Store, &halls(), Moment(0));
+    show_list(&mut fleet, &[], 1, 0);
     for revision in 2..2_000 {
         let id = format!("s-{revision}");
         let changes = [change(object(&id, revision), false)];
-        fleet.on_changes(
-            &changes,
-            span(revision),
-            MissingSource::Store,
-            &halls(),
-            Moment(1),
-        );
+        show_changes(&mut fleet, &changes, span(revision), 1);
         let changes = [change(object(&id, revision), true)];
-        fleet.on_changes(
-            &changes,
-            span(revision),
-            MissingSource::Store,
-            &halls(),
-            Moment(1),
-        );
+        show_changes(&mut fleet, &changes, span(revision), 1);
     }
     assert!(fleet.changes_since(1, Moment(10_000)).is_none());
     assert!(fleet.changes_since(1_990, Moment(10_000)).is_some());
@@ -323,21 +259,9 @@
 #[test]
 fn a_server_that_may_have_lapsed_is_not_told_as_present() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3), object("b", 4)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3), object("b", 4)], 5, 0);
     fleet.on_store_return(ReturnSight::InTime, 9, Moment(1_000));
-    fleet.on_changes(
-        &[change(object("a", 3), true)],
-        span(9),
-        MissingSource::Store,
-        &halls(),
-        Moment(1_000),
-    );
+    show_changes(&mut fleet, &[change(object("a", 3), true)], span(9), 1_000);
     assert_eq!(ids(&fleet), ["a", "b"], "it is kept here");
     let told: Vec<_> = fleet.objects().map(|object| object.record.id).collect();
     assert_eq!(told, ["b"], "nobody else could see its time end");
@@ -353,22 +277,10 @@
         gone.map(|server| change(server, true)).collect()
     };
     let mut fleet = Fleet::default();
-    fleet.on_list(&servers, 5, MissingSource::Store, &halls(), Moment(0));
-    fleet.on_changes(
-        &gone(0..2),
-        span(7),
-        MissingSource::Store,
-        &halls(),
-        Moment(1),
-    );
+    show_list(&mut fleet, &servers, 5, 0);
+    show_changes(&mut fleet, &gone(0..2), span(7), 1);
     assert_eq!(ids(&fleet).len(), 10, "two may end at the same time");
-    fleet.on_changes(
-        &gone(2..5),
-        span(10),
-        MissingSource::Store,
-        &halls(),
-        Moment(2),
-    );
+    show_changes(&mut fleet, &gone(2..5), span(10), 2);
     assert_eq!(ids(&fleet).len(), 10, "three of ten have perhaps lapsed");
     fleet.on_tick(Moment(2 + LAPSE_GRACE_MS));
     assert_eq!(ids(&fleet).len(), 7, "and are gone when they stay away");
@@ -382,7 +294,7 @@
     let servers: Vec<StoredObject> = (0..12).map(|n| object(&format!("s-{n:02}"), 3)).collect();
     let mut fleet = Fleet::default();
     fleet.set_leave_ms(LEAVE_MS);
-    fleet.on_list(&servers, 5, MissingSource::Store, &halls(), Moment(0));
+    show_list(&mut fleet, &servers, 5, 0);
     (fleet, servers)
 }
 
@@ -396,13 +308,7 @@
 fn a_group_that_vanishes_is_kept_for_less_than_a_leaving_server_serves() {
     let (mut fleet, servers) = twelve_servers();
     let changes = ends(&servers[..6]);
-    fleet.on_changes(
-        &changes,
-        span(11),
-        MissingSource::Store,
-        &halls(),
-        Moment(100),
-    );
+    show_changes(&mut fleet, &changes, span(11), 100);
     assert_eq!(ids(&fleet).len(), 12, "six have perhaps lapsed");
     fleet.on_tick(Moment(100 + LEAVE_MS - 300));
     assert_eq!(ids(&fleet).len(), 6, "they may have left");
@@ -413,20 +319,8 @@
     let (mut fleet, servers) = twelve_servers();
     fleet.on_store_return(ReturnSight::InTime, 9, Moment(1_000));
     // This one went missing while the store was away.
-    fleet.on_changes(
-        &ends(&servers[..1]),
-        span(9),
-        MissingSource::Store,
-        &halls(),
-        Moment(1_000),
-    );
-    fleet.on_changes(
-        &ends(&servers[1..2]),
-        span(10),
-        MissingSource::Store,
-        &halls(),
-        Moment(1_100),
-    );
+    show_changes(&mut fleet, &ends(&servers[..1]), span(9), 1_000);
+    show_changes(&mut fleet, &ends(&servers[1..2]), span(10), 1_100);
     let gone = |now| {
         let noted = fleet.on_tick(Moment(now));
         noted.len()
@@ -441,22 +335,10 @@
     let (mut fleet, servers) = twelve_servers();
     fleet.on_store_return(ReturnSight::Late, 9, Moment(1_000));
     let at_first = ends(&servers[..1]);
-    fleet.on_changes(
-        &at_first,
-        span(9),
-        MissingSource::Store,
-        &halls(),
-        Moment(1_000),
-    );
+    show_changes(&mut fleet, &at_first, span(9), 1_000);
     assert_eq!(ids(&fleet).len(), 11, "it may have left long ago");
     let later = ends(&servers[1..2]);
-    fleet.on_changes(
-        &later,
-        span(10),
-        MissingSource::Store,
-        &halls(),
-        Moment(1_100),
-    );
+    show_changes(&mut fleet, &later, span(10), 1_100);
     assert_eq!(ids(&fleet).len(), 11, "it may have lapsed");
     fleet.on_tick(Moment(1_100 + LEAVE_MS - 300));
     assert_eq!(ids(&fleet).len(), 10);
@@ -468,13 +350,7 @@
     let (mut fleet, servers) = twelve_servers();
     fleet.on_store_return(ReturnSight::Late, 9, Moment(1_000));
     let at_first = ends(&servers[..6]);
-    fleet.on_changes(
-        &at_first,
-        span(9),
-        MissingSource::Store,
-        &halls(),
-        Moment(1_000),
-    );
+    show_changes(&mut fleet, &at_first, span(9), 1_000);
     assert_eq!(ids(&fleet).len(), 12);
     fleet.on_tick(Moment(1_000 + LEAVE_MS - 300));
     assert_eq!(ids(&fleet).len(), 6);
@@ -504,13 +380,7 @@
 #[test]
 fn failures_take_a_server_out_and_one_success_brings_it_back() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3)], 5, 0);
     let server = &fleet.of_service("desk")[0];
     for _ in 0..5 {
         assert!(
@@ -552,13 +422,7 @@
 #[test]
 fn the_load_of_others_fades_and_the_own_load_does_not() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3)], 5, 0);
     let server = &fleet.of_service("desk")[0];
     server.begin();
     let load = ServerLoad {
@@ -575,13 +439,7 @@
 #[test]
 fn a_slow_servers_pace_fades_so_that_it_is_tried_again() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 1)],
-        1,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 1)], 1, 0);
     let server = &fleet.of_service("desk")[0];
     for _ in 0..5 {
         server.on_pace(20.0, Moment(0));
@@ -601,7 +459,7 @@
     let mut fleet = Fleet::default();
     let mut cold = object("a", 3);
     cold.content = ObjectContent::Server(record("a", ServerState::Ready, 2_000));
-    fleet.on_list(&[cold], 5, MissingSource::Store, &halls(), Moment(100));
+    show_list(&mut fleet, &[cold], 5, 100);
     let server = &fleet.of_service("desk")[0];
     assert!(server.is_cold(Moment(2_099)));
     assert!(!server.is_cold(Moment(3_000)));
@@ -626,7 +484,7 @@
         for number in 0..hosts {
             // Each host has a fleet of its own and sends as fast as it may.
             let mut fleet = Fleet::default();
-            fleet.on_list(&[object(&server, 1)], 1, MissingSource::Store, &halls(), Moment(0));
+            show_list(&mut fleet, &[object(&server, 1)], 1, 0);
             let server = &fleet.of_service("desk")[0];
             let hash = |number: u32| {
                 xxhash_rust::xxh3::xxh3_64(format!("host-{number}").as_bytes())
@@ -682,25 +540,19 @@
 #[test]
 fn a_late_entry_does_not_bring_an_ended_server_back() {
     let mut fleet = Fleet::default();
-    fleet.on_list(
-        &[object("a", 3), object("b", 4)],
-        5,
-        MissingSource::Store,
-        &halls(),
-        Moment(0),
-    );
+    show_list(&mut fleet, &[object("a", 3), object("b", 4)], 5, 0);
     let gap = |until| ChangeSpan {
         until,
         contiguous: false,
     };
     let end = change(object("a", 12), true);
-    fleet.on_changes(&[end], gap(12), MissingSource::Store, &halls(), Moment(1));
+    show_changes(&mut fleet, &[end], gap(12), 1);
     assert_eq!(ids(&fleet), ["b"]);
     let late = change(object("a", 9), false);
-    fleet.on_changes(&[late], gap(9), MissingSource::Store, &halls(), Moment(2));
+    show_changes(&mut fleet, &[late], gap(9), 2);
     assert_eq!(ids(&fleet), ["b"], "it ended after that entry");
     let back = change(object("a", 14), false);
-    fleet.on_changes(&[back], gap(14), MissingSource::Store, &halls(), Moment(3));
+    show_changes(&mut fleet, &[back], gap(14), 3);
     assert_eq!(ids(&fleet), ["a", "b"], "a later entry counts");
 }
 
@@ -714,22 +566,10 @@
         let born = change(object(&id, 2 * number + 10), false);
         let gone = change(object(&id, 2 * number + 11), true);
         let now = Moment(number);
-        fleet.on_changes(
-            &[born, gone],
-            span(2 * number + 11),
-            MissingSource::Store,
-            &halls(),
-            now,
-        );
+        show_changes(&mut fleet, &[born, gone], span(2 * number + 11), now.0);
     }
     // The first 76 are forgotten, the last of them gone by count 161; the list is older.
-    fleet.on_list(
-        &[object("z", 5)],
-        100,
-        MissingSource::Store,
-        &halls(),
-        Moment(9_000),
-    );
+    show_list(&mut fleet, &[object("z", 5)], 100, 9_000);
     assert!(fleet.changes_since(120, Moment(10_000)).is_none());
     assert!(fleet.changes_since(2_300, Moment(10_000)).is_some());
 }
