--- a/src/bin/ledgespool/commands.rs
+++ b/src/bin/ledgespool/commands.rs
@@ -7,7 +7,6 @@
 use ledgespool::declaration::{self, DrainEntry, DrainKind, ShiftEntry, SteeringDeclaration};
 use ledgespool::error::{self, Error};
 use ledgespool::event::EventCode;
-use ledgespool::member::HostState;
 use ledgespool::result_code::ResultCode;
 use ledgespool::rpc::{ChangeParams, ChangeResult, NoParams, TimelineParams, method};
 use ledgespool::rpc_client::ControlClient;
@@ -16,12 +15,11 @@
 use ledgespool::{catalogue, openrpc, timer};
 
 use crate::app::{HostOptions, OperatorCommand};
-use crate::logs;
-use crate::output::{self, HostLine};
+use crate::output;
+use crate::{hosts, logs};
 
-const CALL_LIMIT: time::Duration = time::Duration::from_secs(8);
-const HOST_LIMIT: time::Duration = time::Duration::from_secs(2);
-const POLL: time::Duration = time::Duration::from_millis(200);
+/// A call of one host must end within this time.
+pub const CALL_LIMIT: time::Duration = time::Duration::from_secs(8);
 
 /// Runs one command.
 pub async fn run(command: OperatorCommand) -> error::Result<()> {
@@ -38,7 +36,7 @@
             let wait = wait.then(|| time::Duration::from_secs(wait_limit));
             apply(&host_options, &dir, operation, wait).await
         }
-        OperatorCommand::Status { host_options } => status(&host_options).await,
+        OperatorCommand::Status { host_options } => hosts::print_status(&host_options).await,
         OperatorCommand::Drain {
             host_options,
             undo,
@@ -55,7 +53,7 @@
             };
             let generation = send_change(&host_options, change).await?;
             if wait {
-                wait_drained(
+                hosts::wait_drained(
                     &host_options,
                     generation,
                     time::Duration::from_secs(wait_limit),
@@ -141,7 +139,8 @@
     )
 }
 
-fn token(options: &HostOptions) -> error::Result<String> {
+/// The operators' token: from the file that the options name, else from the environment.
+pub fn token(options: &HostOptions) -> error::Result<String> {
     let Some(file) = &options.token_file else {
         return Ok(std::env::var("LEDGESPOOL_TOKEN").unwrap_or_default());
     };
@@ -154,7 +153,8 @@
     Ok(text.trim().to_owned())
 }
 
-fn client(options: &HostOptions, limit: time::Duration) -> error::Result<ControlClient> {
+/// A client of the host that the options name.
+pub fn client(options: &HostOptions, limit: time::Duration) -> error::Result<ControlClient> {
     ControlClient::new(options.host, &token(options)?, limit)
 }
 
@@ -211,16 +211,9 @@
         expected_generation: Some(before.map_or(0, |object| object.generation)),
         change: ConfigChange::Replace(Box::new(new)),
     };
-    let result: ChangeResult = client(options, CALL_LIMIT)?
-        .call(method::CHANGE, &params)
-        .await?;
-    if options.json {
-        output::print_json(&result);
-    } else {
-        println!("accepted as generation {}", result.generation);
-    }
+    let generation = submit(options, &params).await?;
     match wait {
-        Some(limit) => wait_in_force(options, result.generation, limit).await,
+        Some(limit) => hosts::wait_in_force(options, generation, limit).await,
         None => Ok(()),
     }
 }
@@ -231,8 +224,13 @@
         expected_generation: None,
         change,
     };
+    submit(options, &params).await
+}
+
+/// Sends a change and prints what came of it; returns the generation that holds it.
+async fn submit(options: &HostOptions, params: &ChangeParams) -> error::Result<u64> {
     let result: ChangeResult = client(options, CALL_LIMIT)?
-        .call(method::CHANGE, &params)
+        .call(method::CHANGE, params)
         .await?;
     if options.json {
         output::print_json(&result);
@@ -242,108 +240,6 @@
     Ok(result.generation)
 }
 
-/// Asks one host who the others are, then each of them for its state.
-async fn gather(options: &HostOptions) -> error::Result<Vec<HostLine>> {
-    let token = token(options)?;
-    let first: HostStatus = client(options, CALL_LIMIT)?
-        .call(method::STATUS, &NoParams {})
-        .await?;
-    let mut tasks = Vec::new();
-    for member in &first.members {
-        let client = ControlClient::new(member.control_address, &token, HOST_LIMIT)?;
-        let alive = member.state != HostState::Dead;
-        tasks.push(tokio::spawn(async move {
-            if !alive {
-                return None;
-            }
-            client
-                .call::<_, HostStatus>(method::STATUS, &NoParams {})
-                .await
-                .ok()
-        }));
-    }
-    let mut lines = Vec::new();
-    for (member, task) in first.members.iter().zip(tasks) {
-        lines.push(HostLine {
-            name: member.identity.name.clone(),
-            hall: member.hall.clone(),
-            state: member.state,
-            status: task.await.ok().flatten(),
-        });
-    }
-    lines.sort_by(|left, right| left.name.cmp(&right.name));
-    Ok(lines)
-}
-
-async fn status(options: &HostOptions) -> error::Result<()> {
-    let lines = gather(options).await?;
-    if options.json {
-        output::print_json(&lines);
-    } else {
-        output::print_status(&lines);
-    }
-    Ok(())
-}
-
-/// Hosts that are alive and do not have the generation in force.
-fn lagging(lines: &[HostLine], generation: u64) -> Vec<String> {
-    let alive = lines.iter().filter(|line| line.state != HostState::Dead);
-    let behind = alive.filter(|line| {
-        line.status
-            .as_ref()
-            .is_none_or(|status| status.in_force < generation)
-    });
-    behind.map(|line| line.name.clone()).collect()
-}
-
-async fn wait_in_force(
-    options: &HostOptions,
-    generation: u64,
-    limit: time::Duration,
-) -> error::Result<()> {
-    let began = time::Instant::now();
-    loop {
-        let behind = lagging(&gather(options).await?, generation);
-        if behind.is_empty() {
-            println!(
-                "in force on every live entry host after {} ms",
-                began.elapsed().as_millis()
-            );
-            return Ok(());
-        }
-        if began.elapsed() >= limit {
-            return Err(Error::with_code(ResultCode::WaitExpired, behind.join(" ")));
-        }
-        tokio::time::sleep(POLL).await;
-    }
-}
-
-async fn wait_drained(
-    options: &HostOptions,
-    generation: u64,
-    limit: time::Duration,
-) -> error::Result<()> {
-    let began = time::Instant::now();
-    loop {
-        let lines = gather(options).await?;
-        let behind = lagging(&lines, generation);
-        let statuses = lines.iter().filter_map(|line| line.status.as_ref());
-        let draining: u32 = statuses.map(|status| status.draining).sum();
-        if behind.is_empty() && draining == 0 {
-            println!("drained after {} ms", began.elapsed().as_millis());
-            return Ok(());
-        }
-        if began.elapsed() >= limit {
-            let detail = format!(
-                "{draining} requests still run; behind: {}",
-                behind.join(" ")
-            );
-            return Err(Error::with_code(ResultCode::WaitExpired, detail));
-        }
-        tokio::time::sleep(POLL).await;
-    }
-}
-
 fn drain_kind(text: &str) -> error::Result<DrainKind> {
     match text {
         "server" => Ok(DrainKind::Server),
@@ -363,7 +259,7 @@
         .await?;
     let mut processes = Vec::new();
     for member in &first.members {
-        let client = ControlClient::new(member.control_address, &token, HOST_LIMIT)?;
+        let client = ControlClient::new(member.control_address, &token, hosts::HOST_LIMIT)?;
         match client
             .call::<_, Vec<EventRecord>>(method::TIMELINE, &TimelineParams::default())
             .await
