--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses its own part of the harness")]
 #![allow(missing_docs, reason = "test code")]
 
+pub mod process_start;
+
 use std::fmt::Write as _;
 use std::io::{BufRead as _, BufReader};
 use std::path::PathBuf;
@@ -45,14 +47,13 @@
             command.stderr(Stdio::null());
         }
         Self {
-            child: command.spawn().expect("the program starts"),
+            child: process_start::start(&mut command),
         }
     }
 
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([name, &self.child.id().to_string()])
-            .status();
+        let id = self.child.id().to_string();
+        let status = process_start::start(Command::new("kill").args([name, &id])).wait();
         assert!(status.expect("kill runs").success(), "signal {name}");
     }
 
@@ -69,10 +70,10 @@
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _continued = Command::new("kill")
-            .args(["-CONT", &self.child.id().to_string()])
-            .stderr(Stdio::null())
-            .status();
+        let id = self.child.id().to_string();
+        let mut command = Command::new("kill");
+        command.args(["-CONT", &id]).stderr(Stdio::null());
+        let _continued = process_start::start(&mut command).wait();
         self.kill();
     }
 }
@@ -110,7 +111,8 @@
     loop {
         let start = (std::process::id().wrapping_mul(97) % u32::from(COUNT)) as u16;
         let port = FIRST + (start + NEXT.fetch_add(1, Ordering::Relaxed)) % COUNT;
-        if net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        let is_free = || net::TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if process_start::while_none_starts(is_free) {
             return port;
         }
     }
@@ -383,14 +385,18 @@
         command: &[&str],
         rest: &[&str],
     ) -> std::process::Output {
-        Command::new(env!("CARGO_BIN_EXE_ledgespool"))
+        let mut program = Command::new(env!("CARGO_BIN_EXE_ledgespool"));
+        program
             .args(command)
             .args(["--host", &host.to_string()])
             .args(rest)
             .env("LEDGESPOOL_TOKEN", TOKEN)
             .current_dir(&self.dir)
-            .output()
-            .expect("the command line runs")
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        let output = process_start::start(&mut program).wait_with_output();
+        output.expect("the command line runs")
     }
 
     /// Waits until every host has the declaration and units of its own hall in force.
