--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -34,8 +34,8 @@
 const RETURN_WAIT_MS: u64 = 0;
 /// The store's return was noticed in time if a call failed that began this short before, in
 /// milliseconds: one that does not wait is given up after 1 s, a pause of 0.8 s follows, and the
-/// next answer may be slow. A watch that fell silent is given up after 6 s only; what is missing then
-/// may have left since the store returned.
+/// next answer may be slow. A watch that fell silent is given up after 3 s, by probes, or after 6 s; what
+/// is missing then may have left since the store returned.
 const RETURN_SEEN_MS: u64 = 2_500;
 /// A watch's answer may be this late.
 const WATCH_MARGIN: time::Duration = time::Duration::from_secs(1);
