--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -33,10 +33,10 @@
 /// A fetch must end within this time: four ways between the farthest regions and the largest
 /// answer over a slow link.
 const FETCH_LIMIT: time::Duration = time::Duration::from_secs(1);
-/// A host that has not answered by then is not waited for alone: another is asked as well. With the
-/// waits before it, news whose datagram was lost and whose first source hangs is known 1.7 s after the
-/// change at the latest, instead of 3.2 s; a leaving server serves for 2 s and more. The largest answers in
-/// use take a tenth of a second over a link of 10 Mbit/s.
+/// A host that has not answered by then is not waited for alone: another is asked as well. By the sum of
+/// the constants, not measured, news whose datagram was lost and whose first source hangs is known 1.7 s
+/// after the change instead of 3.2 s; a leaving server serves for 2 s and more. The largest answers in use
+/// should take a tenth of a second over a link of 10 Mbit/s.
 const SECOND_AFTER: time::Duration = time::Duration::from_millis(400);
 /// The largest answer that is read: some hundred servers and some thousand routes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
