--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -202,9 +202,12 @@
 
 async fn fetch_snapshot<W: WireProtocol>(host: &EntryHost<W>, source: net::SocketAddr) -> FetchEnd {
     match fetch::<W, JoinAnswer>(host, source, SNAPSHOT_PATH).await {
-        Some(JoinAnswer::Snapshot(snapshot)) => {
-            take_over(host, &snapshot, source);
-            FetchEnd::Answered
+        Some(JoinAnswer::Snapshot(packed)) => {
+            let snapshot = packed.snapshot();
+            if let Some(snapshot) = &snapshot {
+                take_over(host, snapshot, source);
+            }
+            FetchEnd::of(snapshot.as_ref())
         }
         Some(JoinAnswer::Ask(_)) | None => FetchEnd::Silent,
     }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -157,6 +157,21 @@
     }
 }
 
+/// Tells all hosts of this region, and some of each other one, that this host can serve, when it is one
+/// of the first after a start: those that wait then ask it. The seeds may start last.
+pub(super) fn announce_start<W: WireProtocol>(host: &EntryHost<W>) {
+    let is_due = host.is_ready() && host.is_starting() && host.peers.borrow().is_listed();
+    if !is_due || !host.join.on_announced() {
+        return;
+    }
+    let targets = host.peers.borrow().start_targets(&host.settings().region);
+    send(
+        host,
+        &PeerMessage::Heartbeat(host.heartbeat(true)),
+        &targets,
+    );
+}
+
 /// Tells some hosts at once of this one, which can serve now: by them look-ups learn of it.
 pub(super) fn introduce<W: WireProtocol>(host: &EntryHost<W>) {
     beat_once(host, true);
@@ -221,6 +236,9 @@
         let halls = heartbeat.evacuated.iter().cloned().collect();
         host.on_evacuation_list(halls, heartbeat.evacuation_changed);
     }
+    if heartbeat.ready && !heartbeat.leaving {
+        join::on_ready_heard(host, heartbeat);
+    }
     catch_up::on_heartbeat(host, heartbeat);
 }
 
--- a/src/entry/join.rs
+++ b/src/entry/join.rs
@@ -19,7 +19,9 @@
 use super::gossip;
 use super::host::EntryHost;
 use super::join_role::{JoinDecision, JoinQuestion, JoinRole, MAX_HOPS, ParkedQuestions};
-use super::peer_message::{self, JoinAnswer, PeerFormatError, PeerSnapshot};
+use super::peer_message::{
+    self, JoinAnswer, PackedSnapshot, PeerFormatError, PeerHeartbeat, PeerSnapshot,
+};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::http_client::{self, ClientSender};
@@ -62,6 +64,10 @@
     written: cell::RefCell<Option<WrittenSnapshot>>,
     /// Whether another host is reached that gives this one what it needs.
     contact: cell::Cell<bool>,
+    /// Whether a host that said that it can serve is being asked.
+    asks_heard: cell::Cell<bool>,
+    /// Whether others were told that this host is among the first to serve.
+    announced: cell::Cell<bool>,
     /// Whether this host was ever able to serve.
     complete: cell::Cell<bool>,
     completed: Notify,
@@ -72,6 +78,11 @@
     pub(super) const fn has_contact(&self) -> bool {
         self.contact.get()
     }
+
+    /// Others are told; returns whether they were not before.
+    pub(super) fn on_announced(&self) -> bool {
+        !self.announced.replace(true)
+    }
 }
 
 /// A snapshot as it is sent, for as long as nothing in it has changed.
@@ -116,7 +127,7 @@
     /// Waits a short while for what this host needs to serve, if it has just started. Without it all
     /// requests of the first tenths of a second are refused, and callers come back but once or twice.
     pub(super) async fn wait_for_knowledge(&self) {
-        if self.join.complete.get() || self.now().0 > STARTING_MS {
+        if self.join.complete.get() || !self.is_starting() {
             return;
         }
         let completed = self.join.completed.notified();
@@ -124,6 +135,11 @@
         let _elapsed = tokio::time::timeout(time::Duration::from_millis(WAIT_MS), completed).await;
     }
 
+    /// Whether this host has just started and is about to learn what it needs to serve, or has just done.
+    pub(super) fn is_starting(&self) -> bool {
+        !self.is_leaving() && self.now().0 <= STARTING_MS
+    }
+
     fn decide_join(&self, question: &JoinQuestion) -> JoinDecision {
         let bytes = self.written_snapshot().map_or(0, |written| written.len());
         let link_mbps = self.settings().link_mbps;
@@ -149,7 +165,7 @@
         let snapshot = self.snapshot();
         // How long those are kept is told as a rest, which shrinks.
         let is_fixed = snapshot.kept.is_empty();
-        let answer = JoinAnswer::Snapshot(Box::new(snapshot));
+        let answer = JoinAnswer::Snapshot(PackedSnapshot::from_snapshot(&snapshot)?);
         let bytes = Bytes::from(peer_message::to_bytes(&answer)?);
         *written = is_fixed.then(|| WrittenSnapshot {
             state,
@@ -235,6 +251,38 @@
     gossip::introduce(&host);
 }
 
+/// Another host says that it can serve: while this one can't, it asks that one as well.
+pub(super) fn on_ready_heard<W: WireProtocol>(
+    host: &rc::Rc<EntryHost<W>>,
+    heartbeat: &PeerHeartbeat,
+) {
+    if host.join.complete.get() || host.join.asks_heard.get() {
+        return;
+    }
+    let Some(source) = host.peers.borrow().peer_address(&heartbeat.host) else {
+        return;
+    };
+    host.join.asks_heard.set(true);
+    let host = rc::Rc::clone(host);
+    tokio::task::spawn_local(async move {
+        let asked = join_once(&host, &[source]).await;
+        host.join.asks_heard.set(false);
+        if asked.is_none() && host.is_ready() {
+            announce_elsewhere(&host, source);
+        }
+    });
+}
+
+/// Tells the own region that this host can serve, if what it needed came from another region: it is among
+/// the first here.
+fn announce_elsewhere<W: WireProtocol>(host: &EntryHost<W>, source: net::SocketAddr) {
+    let region = host.settings().region.clone();
+    let is_near = host.peers.borrow().stands_in(source, &region);
+    if !is_near {
+        gossip::announce_start(host);
+    }
+}
+
 /// The seeds, but for the one that has just failed; then also some other hosts, if any are known.
 fn sources_of<W: WireProtocol>(
     host: &EntryHost<W>,
@@ -308,7 +356,8 @@
     let mut sender = sender;
     for hops in 0..=MAX_HOPS {
         match ask(host, source, sender, hops).await.ok_or(source)? {
-            JoinAnswer::Snapshot(snapshot) => {
+            JoinAnswer::Snapshot(packed) => {
+                let snapshot = packed.snapshot().ok_or(source)?;
                 take_over(host, &snapshot, source);
                 return Ok(());
             }
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -41,6 +41,12 @@
 /// says so on each connection, and callers pass over one that failed them.
 const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(5);
 
+/// How long an answer holds that names hosts of another region, until some of the caller's own are known
+/// to live. After all hosts had returned, with the whole time, one request in
+/// seven came in through another region for ten seconds, whose hosts send the caller's objects to
+/// servers that don't know them (15 requests in 100 late in place of 6; two plays).
+const STOPGAP_TIME_TO_LIVE: time::Duration = time::Duration::from_secs(1);
+
 /// The open sockets of a host.
 #[derive(Debug)]
 pub struct HostListeners {
@@ -164,13 +170,18 @@
 ) -> http::Response<Full<Bytes>> {
     let own = host.record();
     let own = host.is_ready().then_some(&own);
-    let live = host.peers.borrow();
-    let live = live.named_for(&question.region, own, host.now());
-    let named = named_part(live, &mut host.random.borrow_mut());
+    let peers = host.peers.borrow();
+    let live = peers.named_for(&question.region, own, host.now());
+    let named = named_part(live.addresses, &mut host.random.borrow_mut());
     if named.is_empty() {
         return plain(http::StatusCode::SERVICE_UNAVAILABLE);
     }
-    let time_to_live = TIME_TO_LIVE.min(host.settings().bounds.time_to_live_max);
+    let wanted = if live.is_elsewhere {
+        STOPGAP_TIME_TO_LIVE
+    } else {
+        TIME_TO_LIVE
+    };
+    let time_to_live = wanted.min(host.settings().bounds.time_to_live_max);
     json_response(host.wire.lookup_body(&named, time_to_live))
 }
 
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -195,11 +195,50 @@
     pub hosts_listed: bool,
 }
 
+/// The fastest level that finds repeated strings, of 10.
+const PACKING_LEVEL: u8 = 1;
+/// The largest snapshot that is unpacked, in bytes: some thousand servers and ten thousand routes.
+const MAX_UNPACKED_BYTES: usize = 16 << 20;
+
+/// A snapshot, compressed: between regions each window of it that is sent takes a way there and back.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct PackedSnapshot(Vec<u8>);
+
+impl PackedSnapshot {
+    /// Writes and compresses a snapshot.
+    ///
+    /// # Errors
+    /// `Malformed` when it cannot be written.
+    ///
+    /// ```
+    /// use ledgespool::entry::peer_message::{PackedSnapshot, PeerSnapshot};
+    /// let snapshot = PeerSnapshot { fleet_revision: 7, ..PeerSnapshot::default() };
+    /// let packed = PackedSnapshot::from_snapshot(&snapshot)?;
+    /// assert_eq!(packed.snapshot(), Some(snapshot));
+    /// # Ok::<(), ledgespool::entry::peer_message::PeerFormatError>(())
+    /// ```
+    pub fn from_snapshot(snapshot: &PeerSnapshot) -> Result<Self, PeerFormatError> {
+        let bytes = postcard::to_stdvec(snapshot)?;
+        Ok(Self(miniz_oxide::deflate::compress_to_vec(
+            &bytes,
+            PACKING_LEVEL,
+        )))
+    }
+
+    /// The snapshot; `None` for bytes that are none.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<PeerSnapshot> {
+        let unpack = miniz_oxide::inflate::decompress_to_vec_with_limit;
+        let bytes = unpack(&self.0, MAX_UNPACKED_BYTES).ok()?;
+        postcard::from_bytes(&bytes).ok()
+    }
+}
+
 /// What a host that starts is told by one that it asked.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum JoinAnswer {
     /// Everything.
-    Snapshot(Box<PeerSnapshot>),
+    Snapshot(PackedSnapshot),
     /// To ask this host instead, who knows it too or will in a moment.
     Ask(std::net::SocketAddr),
 }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -103,6 +103,15 @@
     }
 }
 
+/// The hosts that callers may be sent to.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct NamedHosts {
+    /// Where callers connect.
+    pub addresses: Vec<net::SocketAddr>,
+    /// Whether they stand in other regions than the caller, since none of its own is known to live.
+    pub is_elsewhere: bool,
+}
+
 /// What a heartbeat changed, for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerChange {
@@ -233,6 +242,13 @@
         self.peers.get(host).map(|peer| peer.record.peer_address)
     }
 
+    /// Whether the host with this peer address is known to stand in `region`.
+    #[must_use]
+    pub fn stands_in(&self, peer_address: net::SocketAddr, region: &str) -> bool {
+        let mut near = self.near(region);
+        near.any(|peer| peer.record.peer_address == peer_address)
+    }
+
     /// Whether any other host is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -291,20 +307,21 @@
             .collect()
     }
 
-    /// The hosts to name to a caller in `region`: those that live, are ready and stay. Its own
+    /// The hosts to name to a caller in `region`: those that live, are ready and stay, and `own`. Its own
     /// region's, if there are any, else all.
     #[must_use]
-    pub fn named_for(
-        &self,
-        region: &str,
-        own: Option<&HostRecord>,
-        now: Moment,
-    ) -> Vec<net::SocketAddr> {
-        let mut named = self.live_addresses(|record| record.region == region, own, now);
-        if named.is_empty() {
-            named = self.live_addresses(|_| true, own, now);
+    pub fn named_for(&self, region: &str, own: Option<&HostRecord>, now: Moment) -> NamedHosts {
+        let near = self.live_addresses(|record| record.region == region, own, now);
+        if !near.is_empty() {
+            return NamedHosts {
+                addresses: near,
+                is_elsewhere: false,
+            };
+        }
+        NamedHosts {
+            addresses: self.live_addresses(|_| true, own, now),
+            is_elsewhere: true,
         }
-        named
     }
 
     fn live_addresses(
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -4,7 +4,7 @@
 //! for. So heartbeats go to a few hosts, whose word goes round; only what a whole region needs at
 //! once goes to all of it.
 
-use std::net;
+use std::{cmp, net};
 
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom as _;
@@ -20,6 +20,9 @@
 /// Hosts that are told at first of a new configuration: what a watcher on a link of 10 Mbit/s can
 /// send a few of within a tenth of a second.
 const ANNOUNCE_TARGETS: usize = 16;
+/// Hosts of each other region that are told when a host is among the first to serve after a start: one
+/// is enough there, and some may not have started yet.
+const START_TARGETS: usize = 3;
 /// Hosts of other regions that each heartbeat goes to.
 const FAR_TARGETS: usize = 2;
 
@@ -59,6 +62,21 @@
             .collect()
     }
 
+    /// Where a host that is among the first to serve after a start says so: its region, and the largest
+    /// hosts of each other one, who pass it on there.
+    #[must_use]
+    pub fn start_targets(&self, region: &str) -> Vec<net::SocketAddr> {
+        let mut far: Vec<_> = self
+            .records()
+            .filter(|peer| peer.region != region)
+            .collect();
+        far.sort_by_key(|peer| (&peer.region, cmp::Reverse(peer.processor_milli), &peer.name));
+        let regions = far.chunk_by(|a, b| a.region == b.region);
+        let far = regions.flat_map(|hosts| hosts.iter().take(START_TARGETS));
+        let far = far.map(|peer| peer.heartbeat_address);
+        self.near_addresses(region).chain(far).collect()
+    }
+
     /// Whether word that goes to [`Self::some_near`] does not reach the whole region.
     #[must_use]
     pub fn must_pass_on(&self, region: &str) -> bool {
--- a/src/entry/store_news.rs
+++ b/src/entry/store_news.rs
@@ -41,6 +41,7 @@
             host.peers.borrow_mut().on_listed();
         }
     }
+    gossip::announce_start(host);
 }
 
 /// Takes over what a watch of a kind brought, and passes it on to the other hosts.
--- a/src/entry/watch_role.rs
+++ b/src/entry/watch_role.rs
@@ -2,6 +2,8 @@
 
 use std::{cell, collections};
 
+use rand::Rng as _;
+
 use super::host::EntryHost;
 use super::peer_message::WatchState;
 use super::store::ObjectKind;
@@ -11,9 +13,12 @@
 /// asks them. When the whole system starts for the first time there are no callers yet, but many
 /// hosts at once.
 const FIRST_MEETING_MS: u64 = 1_500;
-/// The same at any other start, with callers waiting, in milliseconds: a few tries to reach a seed.
-const MEETING_MS: u64 = 350;
-
+/// At any other start, with callers waiting, hosts that found nobody to ask begin to list the store one
+/// after the other: each after a random part of this time over its part of a core, in milliseconds. Of
+/// 295 hosts, 27 with half a core, the first does so after some 40 ms, and some ten until it can serve.
+const LIST_SPREAD_MS: f64 = 600.0;
+/// The longest such time, in milliseconds: a host that is alone should not wait longer.
+const LONGEST_SPREAD_MS: f64 = 2_000.0;
 /// A started host that is no seed, and that another host gives or gave what it needs, leaves the store to
 /// the seeds for this long, in milliseconds: longer than a question is kept, and long enough to hear of
 /// those who watch. Else each of hundreds that start together lists everything for itself.
@@ -24,6 +29,8 @@
 pub struct WatchRole {
     watches: cell::Cell<bool>,
     lost: cell::RefCell<collections::HashSet<ObjectKind>>,
+    /// Where in the order of hosts that list the store this one stands, from 0 to 1.
+    spread: cell::OnceCell<f64>,
 }
 
 impl WatchRole {
@@ -35,6 +42,16 @@
         self.watches.replace(watches) != watches
     }
 
+    /// Whether this host watches the store.
+    pub(super) const fn is_watching(&self) -> bool {
+        self.watches.get()
+    }
+
+    /// A number from 0 to 1 that is drawn once.
+    fn spread(&self, draw: impl FnOnce() -> f64) -> f64 {
+        *self.spread.get_or_init(draw)
+    }
+
     /// A call about a kind was or was not answered; returns whether that is a change.
     ///
     /// ```
@@ -74,30 +91,36 @@
 }
 
 impl<W: WireProtocol> EntryHost<W> {
-    /// Whether this host is one of those that watch the store for its region. Until it has met
-    /// others, or for a short time from its start, only a seed is.
+    /// Whether this host is one of those that watch the store for its region. Until it has a list of
+    /// servers, or for a short time from its start, only a seed is, and who finds no one to ask.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
-        if self.is_meeting_others() {
-            let settings = self.settings();
-            return settings.seeds.contains(&settings.peer_address);
+        let settings = self.settings();
+        let is_seed = settings.seeds.contains(&settings.peer_address);
+        if !self.fleet.borrow().is_listed() {
+            // Who has begun to list goes on: hosts that it meets meanwhile may wait for its list.
+            return is_seed || self.watch.is_watching() || self.now().0 >= self.list_after_ms();
+        }
+        if self.join.has_contact() && self.now().0 < CONTACT_MS {
+            return is_seed;
         }
         let peers = self.peers.borrow();
         peers.is_watcher(&self.record(), self.now())
     }
 
-    fn is_meeting_others(&self) -> bool {
-        if self.join.has_contact() {
-            return self.now().0 < CONTACT_MS;
-        }
-        if !self.peers.borrow().is_empty() {
-            return false;
-        }
-        let meeting_ms = if self.settings().first_start {
+    /// How long after its start a host without a list of servers lists them itself, in milliseconds.
+    fn list_after_ms(&self) -> u64 {
+        let settings = self.settings();
+        let least_ms = if settings.first_start {
             FIRST_MEETING_MS
+        } else if self.join.has_contact() {
+            CONTACT_MS
         } else {
-            MEETING_MS
+            0
         };
-        self.now().0 < meeting_ms
+        let longest_ms = (LIST_SPREAD_MS / settings.processor_share).min(LONGEST_SPREAD_MS);
+        let drawn_ms = longest_ms * self.watch.spread(|| self.random.borrow_mut().random());
+        // A positive number up to the longest.
+        least_ms.max(drawn_ms as u64)
     }
 }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -45,18 +45,25 @@
 fn a_host_is_named_while_it_is_heard_ready_and_stays() {
     let mut peers = PeerTable::default();
     let other = host("b", "one", 200);
-    assert!(peers.named_for("one", None, Moment(0)).is_empty());
+    assert!(peers.named_for("one", None, Moment(0)).addresses.is_empty());
     peers.on_record(&other, Moment(0));
     assert!(
-        peers.named_for("one", None, Moment(0)).is_empty(),
+        peers.named_for("one", None, Moment(0)).addresses.is_empty(),
         "known is not heard"
     );
     let beat = heartbeat(&other, WatchState::Idle);
     assert_eq!(peers.on_heartbeat(&beat, Moment(0)), PeerChange::Heard);
-    assert_eq!(peers.named_for("one", None, Moment(SILENT_MS)).len(), 1);
+    assert_eq!(
+        peers
+            .named_for("one", None, Moment(SILENT_MS))
+            .addresses
+            .len(),
+        1
+    );
     assert!(
         peers
             .named_for("one", None, Moment(SILENT_MS + 1))
+            .addresses
             .is_empty()
     );
     let leaving = PeerHeartbeat {
@@ -67,21 +74,41 @@
         peers.on_heartbeat(&leaving, Moment(10)),
         PeerChange::Leaving
     );
-    assert!(peers.named_for("one", None, Moment(10)).is_empty());
+    assert!(
+        peers
+            .named_for("one", None, Moment(10))
+            .addresses
+            .is_empty()
+    );
     peers.on_heartbeat(&beat, Moment(11));
     assert!(
-        peers.named_for("one", None, Moment(11)).is_empty(),
+        peers
+            .named_for("one", None, Moment(11))
+            .addresses
+            .is_empty(),
         "a late datagram undoes nothing"
     );
     let again = HostRecord { run: 2, ..other };
     peers.on_heartbeat(&heartbeat(&again, WatchState::Idle), Moment(12));
     assert_eq!(
-        peers.named_for("one", None, Moment(12)).len(),
+        peers.named_for("one", None, Moment(12)).addresses.len(),
         1,
         "a new run may come"
     );
 }
 
+#[test]
+fn hosts_of_other_regions_are_named_as_a_stopgap_only() {
+    let mut peers = PeerTable::default();
+    let far = host("far", "two", 200);
+    peers.on_heartbeat(&heartbeat(&far, WatchState::Idle), Moment(0));
+    let named = peers.named_for("one", None, Moment(0));
+    assert!(named.is_elsewhere && named.addresses.len() == 1);
+    let own = host("own", "one", 200);
+    let named = peers.named_for("one", Some(&own), Moment(0));
+    assert!(!named.is_elsewhere && named.addresses.len() == 1);
+}
+
 /// A region of more hosts than a heartbeat goes to, of which only the first is heard itself.
 fn large_region(heard: &[HeardHost]) -> PeerTable {
     let mut peers = PeerTable::default();
@@ -109,10 +136,13 @@
 #[test]
 fn a_host_is_named_when_others_have_heard_it() {
     let peers = large_region(&[told("h-07", 10)]);
-    assert_eq!(peers.named_for("one", None, Moment(10_000)).len(), 2);
+    assert_eq!(
+        peers.named_for("one", None, Moment(10_000)).addresses.len(),
+        2
+    );
     let later = Moment(9_000 + INDIRECT_SILENT_MS + 1);
     assert_eq!(
-        peers.named_for("one", None, later).len(),
+        peers.named_for("one", None, later).addresses.len(),
         1,
         "its age counts from when it spoke itself"
     );
@@ -125,7 +155,10 @@
         ..told("h-07", 0)
     };
     let peers = large_region(&[earlier, told("unknown", 0)]);
-    assert_eq!(peers.named_for("one", None, Moment(10_000)).len(), 1);
+    assert_eq!(
+        peers.named_for("one", None, Moment(10_000)).addresses.len(),
+        1
+    );
 }
 
 #[test]
@@ -230,6 +263,7 @@
         others
             .filter(|other| {
                 let named = self.tables[*other].named_for("one", None, Moment(millis));
+                let named = named.addresses;
                 named.contains(&address)
             })
             .count()
