--- a/src/entry/configuration.rs
+++ b/src/entry/configuration.rs
@@ -11,8 +11,8 @@
 pub struct ServiceConfiguration {
     /// Rises with each change, in uneven steps.
     pub version: u64,
-    /// Every route.
-    pub routes: Vec<RouteRule>,
+    /// Every route; shared, since a table and each request point to them.
+    pub routes: Vec<rc::Rc<RouteRule>>,
     /// Every service.
     pub services: Vec<ServiceRule>,
     /// What callers may send.
@@ -121,12 +121,7 @@
     /// Sorts the routes so that the first that fits is the right one.
     #[must_use]
     pub fn from_configuration(configuration: ServiceConfiguration) -> Self {
-        let mut routes: Vec<_> = configuration
-            .routes
-            .iter()
-            .cloned()
-            .map(rc::Rc::new)
-            .collect();
+        let mut routes = configuration.routes.clone();
         routes.sort_by(|a, b| {
             let by_host = a.host.cmp(&b.host);
             by_host.then_with(|| b.prefix.len().cmp(&a.prefix.len()))
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -49,7 +49,7 @@
 fn table(routes: Vec<RouteRule>) -> RouteTable {
     RouteTable::from_configuration(ServiceConfiguration {
         version: 1,
-        routes,
+        routes: routes.into_iter().map(std::rc::Rc::new).collect(),
         services: Vec::new(),
         limits: CallerLimits {
             header_bytes: 1,
