A few hosts of each hall keep an entry in the store; the others are told of

Cause: each host made an entry of its own, and a return of all was create, conflict, read and replace for each; whoever watched read and removed the entries of hosts that seemed dead. Change: the first three of each hall, by size and name, keep an entry; a host that starts is met by whom it asks, who tells its region and two hosts of each other one, who pass it on. Hosts that are silent are forgotten by each host itself, entries are removed by the first of those that watch. Who has just started counts 470 hosts until all are known, and takes the sizes of regions from others, so that objects stay where they were. Ruled out: rewriting the entry at each start with fewer calls: it still grows with the hosts. Tests: entry_keepers (hosts that keep entries do not grow with a hall; loss of the first three).

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -262,6 +262,9 @@
 ) {
     let source = source.to_string();
     gossip::learn_hosts(host, &snapshot.hosts);
+    host.peers
+        .borrow_mut()
+        .on_told_sizes(&snapshot.region_sizes);
     if snapshot.hosts_listed {
         host.peers.borrow_mut().on_listed();
     }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -27,6 +27,8 @@
 /// The time between two heartbeats: four of them fit into the time after which a silent host is
 /// not named to callers any more.
 const HEARTBEAT: time::Duration = time::Duration::from_millis(500);
+/// Hosts that one datagram tells of: a record takes some 100 bytes.
+const HOSTS_PER_DATAGRAM: usize = 10;
 /// Every so many heartbeats carry the host's whole record.
 const RECORD_EVERY: u64 = 4;
 
@@ -160,7 +162,8 @@
 /// Tells all hosts of this region, and some of each other one, that this host can serve, when it is one
 /// of the first after a start: those that wait then ask it. The seeds may start last.
 pub(super) fn announce_start<W: WireProtocol>(host: &EntryHost<W>) {
-    let is_due = host.is_ready() && host.is_starting() && host.peers.borrow().is_listed();
+    let has_read = host.peers.borrow().has_read_entries();
+    let is_due = host.is_ready() && host.is_starting() && has_read;
     if !is_due || !host.join.on_announced() {
         return;
     }
@@ -170,6 +173,45 @@
         &PeerMessage::Heartbeat(host.heartbeat(true)),
         &targets,
     );
+    host.join.on_met(host.record());
+}
+
+/// Tells the own region, and some hosts of each other one that pass it on, of hosts that came or went and
+/// that the store does not tell of.
+pub(super) fn spread_hosts<W: WireProtocol>(
+    host: &EntryHost<W>,
+    joined: &[HostRecord],
+    gone: &[GoneHost],
+) {
+    let rounds = joined.len().max(gone.len()).div_ceil(HOSTS_PER_DATAGRAM);
+    if rounds == 0 {
+        return;
+    }
+    let (near, far) = {
+        let region = &host.settings().region;
+        let peers = host.peers.borrow();
+        let near = peers.region_targets(region);
+        (near, peers.relay_targets(region, host.now()))
+    };
+    for round in 0..rounds {
+        let news = HostNews {
+            joined: part_of(joined, round).to_vec(),
+            gone: part_of(gone, round).to_vec(),
+            relay: false,
+        };
+        let relayed = HostNews {
+            relay: true,
+            ..news.clone()
+        };
+        send(host, &PeerMessage::Hosts(news), &near);
+        send(host, &PeerMessage::Hosts(relayed), &far);
+    }
+}
+
+/// What the datagram of this number tells of.
+fn part_of<T>(all: &[T], round: usize) -> &[T] {
+    let mut parts = all.chunks(HOSTS_PER_DATAGRAM);
+    parts.nth(round).unwrap_or_default()
 }
 
 /// Tells some hosts at once of this one, which can serve now: by them look-ups learn of it.
@@ -274,6 +316,14 @@
 }
 
 fn on_host_news<W: WireProtocol>(host: &EntryHost<W>, news: &HostNews) {
+    if news.relay {
+        let near = host.peers.borrow().region_targets(&host.settings().region);
+        let passed_on = HostNews {
+            relay: false,
+            ..news.clone()
+        };
+        send(host, &PeerMessage::Hosts(passed_on), &near);
+    }
     learn_hosts(host, &news.joined);
     for gone in &news.gone {
         on_host_gone(host, gone);
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -18,7 +18,7 @@
 use super::evacuation::EvacuationList;
 use super::fleet::Fleet;
 use super::gossip::PeerSocket;
-use super::join::JoinState;
+use super::join::{self, JoinState};
 use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::peer_message::PeerFormatError;
 use super::peers::PeerTable;
@@ -193,6 +193,8 @@
         let is_gone = |id: &str| !fleet.knows(id);
         self.pool.borrow_mut().on_tick(is_gone, now);
         self.forget_written_snapshot();
+        self.look_for_all_hosts(now);
+        join::spread_met(self);
         self.log.flush();
     }
 
--- a/src/entry/host_entries.rs
+++ b/src/entry/host_entries.rs
@@ -1,16 +1,19 @@
-//! The entries of entry hosts in the store: each host writes its own, and those of hosts that have
-//! been silent for long are removed.
+//! The entries of entry hosts in the store: a few hosts of each hall keep one, by which a host that knows
+//! nobody finds others, and those of hosts that have been silent for long are removed.
 
 use std::{rc, time};
 
 use serde_json::json;
 
 use super::follow;
+use super::gossip;
 use super::host::EntryHost;
+use super::peer_message::GoneHost;
 use super::peers::HostRecord;
 use super::store::{ObjectContent, ObjectStore, StoreFault, StoreResult};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::timer::Moment;
 
 /// Hosts that have been silent are looked for this often.
 const SWEEP: time::Duration = time::Duration::from_secs(5);
@@ -18,6 +21,15 @@
 /// which it can be silent before the others remove it.
 const OWN_ENTRY_CHECK: time::Duration = time::Duration::from_secs(1);
 
+/// A started host has met the others of its hall by then, so that no more than those whose turn it is
+/// write an entry, in milliseconds. Old entries are good until then: hosts return to their addresses.
+const SETTLE_MS: u64 = 3_000;
+/// By then a started host has heard of all others, in milliseconds: those that start with it are told of
+/// within a second, and each heartbeat is told to eight others twice a second.
+const ALL_MET_MS: u64 = 5_000;
+/// The same where a hall is known of which no host was heard: it has none, or none that lives.
+const ALL_MET_AT_LAST_MS: u64 = 30_000;
+
 /// Starts the tasks that write and remove entries.
 pub(super) fn spawn<W: WireProtocol, S: ObjectStore>(
     host: &rc::Rc<EntryHost<W>>,
@@ -27,13 +39,18 @@
     tokio::task::spawn_local(sweep(rc::Rc::clone(host), rc::Rc::clone(store)));
 }
 
-/// Writes this host's own entry, by which the others meet it, and again whenever it is gone.
+/// Writes this host's own entry when it is one of those that keep one, and again whenever it is gone.
 async fn register<W: WireProtocol, S: ObjectStore>(host: rc::Rc<EntryHost<W>>, store: rc::Rc<S>) {
+    let mut was_keeper = false;
     while !host.is_leaving() {
-        if host.own_entry.get().is_none() && write_until_done(&host, &*store).await.is_none() {
+        tokio::time::sleep(OWN_ENTRY_CHECK).await;
+        let keeps = host.keeps_entry();
+        // Twice in a row: another may only have missed a heartbeat.
+        let is_due = keeps && was_keeper && host.own_entry.get().is_none();
+        was_keeper = keeps;
+        if is_due && write_until_done(&host, &*store).await.is_none() {
             return;
         }
-        tokio::time::sleep(OWN_ENTRY_CHECK).await;
     }
 }
 
@@ -62,6 +79,24 @@
 }
 
 impl<W: WireProtocol> EntryHost<W> {
+    fn keeps_entry(&self) -> bool {
+        let now = self.now();
+        now.0 >= SETTLE_MS && self.peers.borrow().keeps_entry(&self.record(), now)
+    }
+
+    /// Takes all hosts for known once there was time to hear of them, and a host of each hall is known.
+    pub(super) fn look_for_all_hosts(&self, now: Moment) {
+        if now.0 < ALL_MET_MS || self.peers.borrow().is_listed() {
+            return;
+        }
+        let settings = self.settings();
+        let halls = settings.halls.names().filter(|hall| *hall != settings.hall);
+        let mut peers = self.peers.borrow_mut();
+        if peers.knows_halls(halls) || now.0 >= ALL_MET_AT_LAST_MS {
+            peers.on_listed();
+        }
+    }
+
     /// The own entry of `run` is gone from the store. An earlier run's end changes nothing.
     pub(super) fn on_own_entry_gone(&self, run: u64) {
         if run >= self.run && !self.is_leaving() {
@@ -114,36 +149,51 @@
     }
 }
 
-/// Removes the entries of hosts that have been silent for long. One host does it for each entry:
-/// the live one whose name comes first.
+/// Forgets hosts that have been silent for long. The first host of a region tells the other regions, and
+/// removes the entries of such hosts.
 async fn sweep<W: WireProtocol, S: ObjectStore>(host: rc::Rc<EntryHost<W>>, store: rc::Rc<S>) {
     loop {
         tokio::time::sleep(SWEEP).await;
+        if host.is_leaving() {
+            continue;
+        }
         let now = host.now();
         let own = host.record();
-        if host.is_leaving() || !host.peers.borrow().is_first_alive(&own, now) {
+        let forgotten = host.peers.borrow_mut().forget_silent(&own.region, now);
+        for gone in &forgotten {
+            host.note(EventCode::MemberDied, json!({ "peer": gone.name }));
+        }
+        if !host.peers.borrow().is_first_watcher(&own, now) {
             continue;
         }
-        let silent = host.peers.borrow().removable(&own.region, now);
-        for record in silent {
-            match within_limit(remove_run(&record, &*store)).await {
-                Ok(()) | Err(StoreFault::Absent) => {
-                    host.peers.borrow_mut().on_removed(&record.name, record.run);
-                    host.note(EventCode::MemberDied, json!({ "peer": record.name }));
-                }
-                // It has changed meanwhile, so its host lives again.
-                Err(StoreFault::Conflict) => {}
-                Err(fault) => {
-                    let fields = json!({ "peer": record.name, "fault": fault.to_string() });
-                    host.note(EventCode::EntryNotRemoved, fields);
-                }
-            }
+        gossip::spread_hosts(&host, &[], &forgotten);
+        let abandoned = host.peers.borrow().abandoned_entries(&own);
+        for entry in abandoned {
+            remove_abandoned(&host, &*store, &entry).await;
+        }
+    }
+}
+
+async fn remove_abandoned<W: WireProtocol, S: ObjectStore>(
+    host: &EntryHost<W>,
+    store: &S,
+    entry: &GoneHost,
+) {
+    match within_limit(remove_run(entry, store)).await {
+        // It is gone, or its host lives again and has changed it.
+        Ok(()) | Err(StoreFault::Absent | StoreFault::Conflict) => {
+            let mut peers = host.peers.borrow_mut();
+            peers.on_entry_gone(&entry.name, entry.run);
+        }
+        Err(fault) => {
+            let fields = json!({ "peer": entry.name, "fault": fault.to_string() });
+            host.note(EventCode::EntryNotRemoved, fields);
         }
     }
 }
 
 /// Removes a host's entry if it is still that of the run which fell silent.
-async fn remove_run<S: ObjectStore>(silent: &HostRecord, store: &S) -> StoreResult<()> {
+async fn remove_run<S: ObjectStore>(silent: &GoneHost, store: &S) -> StoreResult<()> {
     let found = store.read_host(&silent.name).await?;
     match &found.content {
         ObjectContent::Host(record) if record.run != silent.run => Err(StoreFault::Conflict),
--- a/src/entry/join.rs
+++ b/src/entry/join.rs
@@ -22,6 +22,7 @@
 use super::peer_message::{
     self, JoinAnswer, PackedSnapshot, PeerFormatError, PeerHeartbeat, PeerSnapshot,
 };
+use super::peers::HostRecord;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::http_client::{self, ClientSender};
@@ -64,6 +65,8 @@
     written: cell::RefCell<Option<WrittenSnapshot>>,
     /// Whether another host is reached that gives this one what it needs.
     contact: cell::Cell<bool>,
+    /// Hosts that were met and that others are still to be told of.
+    met: cell::RefCell<Vec<HostRecord>>,
     /// Whether a host that said that it can serve is being asked.
     asks_heard: cell::Cell<bool>,
     /// Whether others were told that this host is among the first to serve.
@@ -79,6 +82,11 @@
         self.contact.get()
     }
 
+    /// Others are to be told of this run of a host.
+    pub(super) fn on_met(&self, record: HostRecord) {
+        self.met.borrow_mut().push(record);
+    }
+
     /// Others are told; returns whether they were not before.
     pub(super) fn on_announced(&self) -> bool {
         !self.announced.replace(true)
@@ -207,7 +215,7 @@
             return None;
         }
     };
-    gossip::learn_hosts(host, std::slice::from_ref(&question.record));
+    on_asker(host, &question);
     let decision = if host.is_ready() {
         host.decide_join(&question)
     } else {
@@ -222,6 +230,21 @@
     }
 }
 
+/// A host that asks is met; the others are told, unless they know this run of it.
+fn on_asker<W: WireProtocol>(host: &EntryHost<W>, question: &JoinQuestion) {
+    let record = &question.record;
+    if host.peers.borrow().run_of(&record.name) < record.run {
+        gossip::learn_hosts(host, std::slice::from_ref(record));
+        host.join.on_met(record.clone());
+    }
+}
+
+/// Tells others of the hosts that have asked since the last time.
+pub(super) fn spread_met<W: WireProtocol>(host: &EntryHost<W>) {
+    let met = host.join.met.take();
+    gossip::spread_hosts(host, &met, &[]);
+}
+
 async fn park<W: WireProtocol>(
     host: &EntryHost<W>,
     question: JoinQuestion,
--- a/src/entry/join_role.rs
+++ b/src/entry/join_role.rs
@@ -113,7 +113,7 @@
     /// #     record: HostRecord {
     /// #         name: name.to_owned(), run: 1, hall: "east".to_owned(), region: "one".to_owned(),
     /// #         caller_address: address, peer_address: address, heartbeat_address: address,
-    /// #         processor_milli: 100,
+    /// #         processor_milli: 100, region_hosts: 0,
     /// #     },
     /// #     link_mbps: 20,
     /// #     hops: 0,
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -156,13 +156,15 @@
     pub hold_ms: u64,
 }
 
-/// Entry hosts that a watcher has seen come or go.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+/// Entry hosts that came or went.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct HostNews {
     /// Who came.
     pub joined: Vec<HostRecord>,
-    /// Those whose entries are gone.
+    /// Those that are gone.
     pub gone: Vec<GoneHost>,
+    /// Whether who gets this passes it on to its region.
+    pub relay: bool,
 }
 
 /// A run of a host whose entry is gone from the store.
@@ -191,8 +193,19 @@
     pub evacuation_revision: u64,
     /// The entry hosts.
     pub hosts: Vec<HostRecord>,
-    /// Whether these are all that the store knew.
+    /// Whether these are all, as far as can be told.
     pub hosts_listed: bool,
+    /// How many hosts each region has, as far as this one knows.
+    pub region_sizes: Vec<RegionSize>,
+}
+
+/// How many entry hosts a region has.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RegionSize {
+    /// The region.
+    pub region: String,
+    /// Its hosts.
+    pub hosts: u32,
 }
 
 /// The fastest level that finds repeated strings, of 10.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -4,6 +4,7 @@
 //! watches the store in `watchers`.
 
 mod heard;
+mod keepers;
 mod targets;
 mod watchers;
 
@@ -11,9 +12,10 @@
 
 use xxhash_rust::xxh3;
 
+pub use self::keepers::ENTRY_KEEPERS;
 pub use self::targets::NEAR_TARGETS;
 pub use self::watchers::WATCHERS;
-use super::peer_message::{PeerHeartbeat, WatchState};
+use super::peer_message::{PeerHeartbeat, RegionSize, WatchState};
 use crate::timer::Moment;
 
 /// A host that was not heard for this long is not named to callers, in milliseconds. Four
@@ -23,11 +25,11 @@
 /// The same in a region so large that most hosts are heard of through others: two more heartbeats,
 /// in which the word goes round, in milliseconds.
 pub const INDIRECT_SILENT_MS: u64 = 3_000;
-/// A silent host's entry is removed from the store after this long.
+/// A host of the own region that was silent for this long is forgotten, and its entry is removed from the
+/// store, in milliseconds.
 const REMOVE_MS: u64 = 20_000;
-/// Hosts that are assumed until the whole list was read: the largest deployments in use have about
-/// as many.
-const UNLISTED_HOSTS: u32 = 100;
+/// Hosts that are assumed until all are known: as many as the largest deployment that is planned.
+const UNLISTED_HOSTS: u32 = 470;
 /// One run of an entry host, as the store and other hosts hold it.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct HostRecord {
@@ -47,6 +49,9 @@
     pub heartbeat_address: net::SocketAddr,
     /// The part of a core that it has, in thousandths; the larger hosts watch the store.
     pub processor_milli: u32,
+    /// The hosts that it knew in its region when this was written, itself included; 0 where it did not tell.
+    #[serde(default)]
+    pub region_hosts: u32,
 }
 
 /// The hash of a host's name, by which all hosts rank it alike.
@@ -135,7 +140,13 @@
     /// indexes made anew for each, meeting 295 hosts took 7.3 ms of a whole core; now 0.17 ms
     /// (five runs of a loop over new records).
     hashes: cell::RefCell<Option<rc::Rc<[u64]>>>,
-    /// Whether the whole list of hosts was ever read.
+    /// Entries of hosts in the store, on hosts that watch it.
+    entries: collections::HashMap<String, keepers::HostEntry>,
+    /// The most hosts of each region that a record told of.
+    told_counts: collections::BTreeMap<String, u32>,
+    /// Whether the entries in the store were ever read.
+    entries_read: bool,
+    /// Whether all hosts are known, as far as can be told.
     listed: bool,
 }
 
@@ -146,6 +157,7 @@
         if known.is_some_and(|known| known.record.run >= record.run) {
             return;
         }
+        self.on_told_size(&record.region, record.region_hosts);
         let entry = PeerEntry {
             record: record.clone(),
             heard: None,
@@ -260,12 +272,18 @@
         self.peers.values().map(|peer| &peer.record)
     }
 
-    /// The whole list of hosts was read, from the store or from a host that had read it.
+    /// Whether the entries of hosts in the store were ever read here.
+    #[must_use]
+    pub const fn has_read_entries(&self) -> bool {
+        self.entries_read
+    }
+
+    /// All hosts are known, since another host that knows them told, or enough time has passed.
     pub const fn on_listed(&mut self) {
         self.listed = true;
     }
 
-    /// Whether the whole list of hosts was ever read.
+    /// Whether all hosts are known, as far as can be told.
     #[must_use]
     pub const fn is_listed(&self) -> bool {
         self.listed
@@ -283,28 +301,44 @@
         }
     }
 
-    /// How many other hosts of each region are known.
+    /// How many hosts of each region there are, beside this one of `own_region`: those that are known, and
+    /// until all are, as many as other hosts knew. Without that a host that has just started takes a region
+    /// whose hosts it meets first for the busiest, and sends its callers' objects elsewhere.
     #[must_use]
-    pub fn hosts_by_region(&self) -> collections::BTreeMap<String, u32> {
-        self.region_counts.clone()
+    pub fn hosts_by_region(&self, own_region: &str) -> collections::BTreeMap<String, u32> {
+        let mut counts = self.region_counts.clone();
+        if self.listed {
+            return counts;
+        }
+        for (region, told) in &self.told_counts {
+            let others = told.saturating_sub(u32::from(region == own_region));
+            let count = counts.entry(region.clone()).or_default();
+            *count = others.max(*count);
+        }
+        counts
     }
 
-    /// Whether `own` is the first by name of the live hosts of its region.
-    #[must_use]
-    pub fn is_first_alive(&self, own: &HostRecord, now: Moment) -> bool {
-        let silent_ms = self.silent_ms(&own.region);
-        !self
-            .near(&own.region)
-            .any(|peer| peer.stays(now, silent_ms) && peer.record.name < own.name)
+    /// Another host tells how many hosts each region has.
+    pub fn on_told_sizes(&mut self, sizes: &[RegionSize]) {
+        for size in sizes {
+            self.on_told_size(&size.region, size.hosts);
+        }
+    }
+
+    fn on_told_size(&mut self, region: &str, hosts: u32) {
+        let told = self.told_counts.entry(region.to_owned()).or_default();
+        *told = hosts.max(*told);
     }
 
-    /// The runs of hosts of a region that were silent for so long that their entries may be removed.
+    /// Whether a host of each of these halls is known.
+    pub fn knows_halls<'a>(&self, mut halls: impl Iterator<Item = &'a str>) -> bool {
+        halls.all(|hall| self.records().any(|record| record.hall == hall))
+    }
+
+    /// Hosts that are known in `region`, `own` included.
     #[must_use]
-    pub fn removable(&self, region: &str, now: Moment) -> Vec<HostRecord> {
-        self.near(region)
-            .filter(|peer| now.since(peer.heard.unwrap_or(peer.met)) > REMOVE_MS)
-            .map(|peer| peer.record.clone())
-            .collect()
+    pub fn region_size(&self, region: &str) -> u32 {
+        self.region_counts.get(region).copied().unwrap_or(0) + 1
     }
 
     /// The hosts to name to a caller in `region`: those that live, are ready and stay, and `own`. Its own
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom as _;
 
-use super::{HostRecord, PeerTable};
+use super::{HostRecord, PeerTable, REMOVE_MS};
 use crate::entry::peer_message::WatchState;
 use crate::entry::{choice, peers};
 use crate::timer::Moment;
@@ -20,6 +20,8 @@
 /// Hosts that are told at first of a new configuration: what a watcher on a link of 10 Mbit/s can
 /// send a few of within a tenth of a second.
 const ANNOUNCE_TARGETS: usize = 16;
+/// Hosts of each other region that pass word of hosts on: one may be lost, or its datagram.
+const RELAY_TARGETS: usize = 2;
 /// Hosts of each other region that are told when a host is among the first to serve after a start: one
 /// is enough there, and some may not have started yet.
 const START_TARGETS: usize = 3;
@@ -77,6 +79,28 @@
         self.near_addresses(region).chain(far).collect()
     }
 
+    /// All hosts of a region.
+    #[must_use]
+    pub fn region_targets(&self, region: &str) -> Vec<net::SocketAddr> {
+        self.near_addresses(region).collect()
+    }
+
+    /// Some hosts of each region but `region` that pass word on there: the largest that were heard, else
+    /// the largest that are known.
+    #[must_use]
+    pub fn relay_targets(&self, region: &str, now: Moment) -> Vec<net::SocketAddr> {
+        let mut far: Vec<_> = self.peers.values().collect();
+        far.retain(|peer| peer.record.region != region && !peer.leaving);
+        far.sort_by_key(|peer| {
+            let is_silent = !peer.is_heard(now, REMOVE_MS);
+            let record = &peer.record;
+            (&record.region, is_silent, record.watch_order())
+        });
+        let regions = far.chunk_by(|a, b| a.record.region == b.record.region);
+        let far = regions.flat_map(|hosts| hosts.iter().take(RELAY_TARGETS));
+        far.map(|peer| peer.record.heartbeat_address).collect()
+    }
+
     /// Whether word that goes to [`Self::some_near`] does not reach the whole region.
     #[must_use]
     pub fn must_pass_on(&self, region: &str) -> bool {
--- a/src/entry/peers/watchers.rs
+++ b/src/entry/peers/watchers.rs
@@ -34,9 +34,20 @@
     }
 }
 
+impl PeerTable {
+    /// Whether `own` comes before all hosts of its region that live: it clears up for them.
+    #[must_use]
+    pub fn is_first_watcher(&self, own: &HostRecord, now: Moment) -> bool {
+        let silent_ms = self.silent_ms(&own.region);
+        !self
+            .near(&own.region)
+            .any(|peer| peer.record.watch_order() < own.watch_order() && peer.stays(now, silent_ms))
+    }
+}
+
 impl HostRecord {
     /// The order in which hosts of a region watch the store: the larger first, then by a hash.
-    fn watch_order(&self) -> (cmp::Reverse<u32>, u64) {
+    pub(super) fn watch_order(&self) -> (cmp::Reverse<u32>, u64) {
         (
             cmp::Reverse(self.processor_milli),
             super::name_hash(&self.name),
--- a/src/entry/region_shares.rs
+++ b/src/entry/region_shares.rs
@@ -175,8 +175,7 @@
     }
 
     fn region_rooms(&self, service: &str) -> Vec<RegionRoom> {
-        let mut hosts = self.peers.borrow().hosts_by_region();
-        *hosts.entry(self.settings().region.clone()).or_default() += 1;
+        let hosts = self.hosts_by_region();
         let mut slots = collections::BTreeMap::<String, u32>::new();
         let evacuated = self.evacuated_halls();
         for server in self.fleet.borrow().of_service(service) {
--- a/src/entry/self_report.rs
+++ b/src/entry/self_report.rs
@@ -1,8 +1,10 @@
 //! What a host tells other hosts of itself and of what it knows.
 
+use std::collections;
+
 use super::host::EntryHost;
 use super::packed_servers::PackedServers;
-use super::peer_message::{FleetNews, PeerHeartbeat, PeerSnapshot};
+use super::peer_message::{FleetNews, PeerHeartbeat, PeerSnapshot, RegionSize};
 use super::peers::HostRecord;
 use super::wire::WireProtocol;
 
@@ -23,6 +25,7 @@
             heartbeat_address,
             // The share of a core is checked to be small.
             processor_milli: (settings.processor_share * 1_000.0) as u32,
+            region_hosts: self.peers.borrow().region_size(&settings.region),
         }
     }
 
@@ -64,6 +67,21 @@
         })
     }
 
+    fn region_sizes(&self) -> Vec<RegionSize> {
+        let sizes = self.hosts_by_region().into_iter();
+        sizes
+            .map(|(region, hosts)| RegionSize { region, hosts })
+            .collect()
+    }
+
+    /// How many hosts each region has, this one included.
+    pub(super) fn hosts_by_region(&self) -> collections::BTreeMap<String, u32> {
+        let region = self.settings().region.clone();
+        let mut hosts = self.peers.borrow().hosts_by_region(&region);
+        *hosts.entry(region).or_default() += 1;
+        hosts
+    }
+
     /// All that another host may want to know.
     #[must_use]
     pub fn snapshot(&self) -> PeerSnapshot {
@@ -85,6 +103,7 @@
             evacuation_revision: evacuations.revision(),
             hosts,
             hosts_listed: self.peers.borrow().is_listed(),
+            region_sizes: self.region_sizes(),
         }
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -57,6 +57,11 @@
 }
 
 impl HallMap {
+    /// The names of all halls.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.regions.keys().map(String::as_str)
+    }
+
     /// The region of `hall`; empty for one that the settings do not name.
     #[must_use]
     pub fn region_of(&self, hall: &str) -> &str {
--- a/src/entry/store_news.rs
+++ b/src/entry/store_news.rs
@@ -38,7 +38,7 @@
             });
             let records: Vec<_> = records.collect();
             gossip::learn_hosts(host, &records);
-            host.peers.borrow_mut().on_listed();
+            host.peers.borrow_mut().on_entries(&records);
         }
     }
     gossip::announce_start(host);
@@ -80,16 +80,17 @@
 }
 
 fn on_hosts<W: WireProtocol>(host: &EntryHost<W>, batch: &ChangeBatch) {
-    let mut news = HostNews {
-        joined: Vec::new(),
-        gone: Vec::new(),
-    };
+    let mut news = HostNews::default();
     for change in &batch.changes {
         if change.deleted {
             let gone = gone_host(host, &change.object);
+            let mut peers = host.peers.borrow_mut();
+            peers.on_entry_gone(&gone.name, gone.run);
+            drop(peers);
             gossip::on_host_gone(host, &gone);
             news.gone.push(gone);
         } else if let ObjectContent::Host(record) = &change.object.content {
+            host.peers.borrow_mut().on_entry(record);
             news.joined.push(record.clone());
         }
     }
--- a/tests/entry_join.rs
+++ b/tests/entry_join.rs
@@ -82,6 +82,7 @@
                 peer_address: address,
                 heartbeat_address: address,
                 processor_milli: 100,
+                region_hosts: 0,
             },
             link_mbps,
             hops: 0,
--- /dev/null
+++ b/tests/entry_keepers.rs
@@ -0,0 +1,188 @@
+//! Which hosts keep an entry in the store, how many hosts one that starts counts, and how hosts are
+//! forgotten. Load pattern: hundreds of hosts return at once and each call of the store is paid for.
+
+use ledgespool::entry::peer_message::{PeerHeartbeat, RegionSize, WatchState};
+use ledgespool::entry::peers::{ENTRY_KEEPERS, HostRecord, PeerTable};
+use ledgespool::timer::Moment;
+
+fn record(name: &str, hall: &str, region: &str, processor_milli: u32) -> HostRecord {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    HostRecord {
+        name: name.to_owned(),
+        run: 1,
+        hall: hall.to_owned(),
+        region: region.to_owned(),
+        caller_address: address,
+        peer_address: address,
+        heartbeat_address: address,
+        processor_milli,
+        region_hosts: 0,
+    }
+}
+
+fn heartbeat(record: &HostRecord, leaving: bool) -> PeerHeartbeat {
+    PeerHeartbeat {
+        host: record.name.clone(),
+        run: record.run,
+        record: Some(record.clone()),
+        ready: true,
+        leaving,
+        watch: WatchState::Idle,
+        configuration_version: 1,
+        fleet_changed: 1,
+        evacuation_changed: 0,
+        evacuated: Vec::new(),
+        heard: Vec::new(),
+    }
+}
+
+/// Three halls of `per_hall` hosts, the first of each with a larger part of a core.
+fn fleet(per_hall: usize) -> Vec<HostRecord> {
+    let halls = ["east", "west", "north"];
+    let hosts = halls.iter().flat_map(|hall| {
+        (0..per_hall).map(move |number| {
+            let processor_milli = if number < 2 { 500 } else { 100 };
+            record(&format!("{hall}-{number}"), hall, "one", processor_milli)
+        })
+    });
+    hosts.collect()
+}
+
+/// What each host knows when all have heard all others, but those at `silent`.
+fn keepers(hosts: &[HostRecord], silent: &[&str], now: Moment) -> Vec<String> {
+    let lives = |host: &&HostRecord| !silent.contains(&host.name.as_str());
+    let keeps = |own: &&HostRecord| {
+        let mut peers = PeerTable::default();
+        for other in hosts.iter().filter(|other| other.name != own.name) {
+            peers.on_record(other, Moment(0));
+            if lives(&other) {
+                peers.on_heartbeat(&heartbeat(other, false), now);
+            }
+        }
+        peers.keeps_entry(own, now)
+    };
+    let kept = hosts.iter().filter(lives).filter(keeps);
+    kept.map(|host| host.name.clone()).collect()
+}
+
+#[test]
+fn entries_do_not_grow_with_the_hosts() {
+    for per_hall in [4, 33, 160] {
+        let kept = keepers(&fleet(per_hall), &[], Moment(5_000));
+        assert_eq!(
+            kept.len(),
+            3 * ENTRY_KEEPERS,
+            "{per_hall} hosts a hall: {kept:?}"
+        );
+        assert!(
+            kept.iter().any(|name| name == "west-0"),
+            "the larger ones first"
+        );
+    }
+    assert_eq!(
+        keepers(&fleet(2), &[], Moment(5_000)).len(),
+        6,
+        "few hosts keep one each"
+    );
+}
+
+#[test]
+fn when_those_that_keep_an_entry_are_lost_others_of_the_hall_take_it_up() {
+    let hosts = fleet(33);
+    let before = keepers(&hosts, &[], Moment(5_000));
+    let lost: Vec<&str> = before
+        .iter()
+        .filter(|name| name.starts_with("east"))
+        .map(String::as_str)
+        .collect();
+    let after = keepers(&hosts, &lost, Moment(9_000));
+    let east = after.iter().filter(|name| name.starts_with("east")).count();
+    assert_eq!(east, ENTRY_KEEPERS);
+    assert!(
+        lost.iter()
+            .all(|name| !after.iter().any(|kept| kept == name))
+    );
+}
+
+#[test]
+fn a_host_that_leaves_keeps_none() {
+    let hosts = fleet(4);
+    let mut peers = PeerTable::default();
+    for other in &hosts[..3] {
+        peers.on_heartbeat(&heartbeat(other, true), Moment(0));
+    }
+    assert!(peers.keeps_entry(&hosts[3], Moment(1)));
+}
+
+#[test]
+fn a_list_of_entries_tells_of_all_hosts_only_where_halls_are_small() {
+    let mut peers = PeerTable::default();
+    peers.on_entries(&fleet(2));
+    assert!(peers.is_listed());
+    let mut peers = PeerTable::default();
+    peers.on_entries(&fleet(ENTRY_KEEPERS));
+    assert!(!peers.is_listed(), "there may be any number of others");
+    assert!(
+        peers.host_count() > 400,
+        "so parts of shared limits are small"
+    );
+    assert!(peers.other_hashes().is_none());
+}
+
+#[test]
+fn a_host_that_starts_takes_no_region_for_larger_than_others_knew_it() {
+    let mut peers = PeerTable::default();
+    let size = |region: &str| RegionSize {
+        region: region.to_owned(),
+        hosts: 98,
+    };
+    peers.on_told_sizes(&[size("one"), size("two")]);
+    for host in fleet(20) {
+        peers.on_record(&host, Moment(0));
+    }
+    let sizes = peers.hosts_by_region("one");
+    assert_eq!(
+        (sizes["one"], sizes["two"]),
+        (97, 98),
+        "this host is the 98th of its own"
+    );
+    peers.on_listed();
+    assert_eq!(
+        peers.hosts_by_region("one")["one"],
+        60,
+        "what is known counts in the end"
+    );
+}
+
+#[test]
+fn silent_hosts_are_forgotten_and_their_entries_abandoned() {
+    let hosts = fleet(4);
+    let own = &hosts[0];
+    let mut peers = PeerTable::default();
+    peers.on_entries(&hosts[..2]);
+    for other in &hosts[1..] {
+        peers.on_record(other, Moment(0));
+    }
+    let far = record("far", "south", "two", 100);
+    peers.on_record(&far, Moment(0));
+    peers.on_heartbeat(&heartbeat(&hosts[2], false), Moment(20_000));
+    assert!(peers.abandoned_entries(own).is_empty());
+    let forgotten = peers.forget_silent("one", Moment(20_001));
+    assert_eq!(
+        forgotten.len(),
+        10,
+        "all of the region but the one that spoke"
+    );
+    assert_eq!(
+        peers.run_of("far"),
+        1,
+        "hosts of other regions are heard of seldom"
+    );
+    let abandoned = peers.abandoned_entries(own);
+    assert_eq!(abandoned.len(), 1, "{abandoned:?}");
+    assert_eq!(abandoned[0].name, hosts[1].name);
+    peers.on_entry_gone(&hosts[1].name, 1);
+    assert!(peers.abandoned_entries(own).is_empty());
+    assert!(peers.forget_silent("one", Moment(700_000)).len() == 1);
+    assert_eq!(peers.run_of("far"), 0);
+}
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -22,6 +22,7 @@
         peer_address: address,
         heartbeat_address: address,
         processor_milli,
+        region_hosts: 0,
     }
 }
 
