Refusals for want of a list have a name of their own; stories find servers in lines that tell of several

Cause: a host that had no list yet refused with the words of one that knows no fitting server, so that losses could not tell a start from an outage; and lines that tell of many servers were in no request's story. Change: refused_unlisted in logs, metrics and losses; a story looks into the names that such a line gives.

--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -22,6 +22,8 @@
     RefusedNoServer,
     /// Refused unrun: there is no configuration yet.
     RefusedUnconfigured,
+    /// Refused unrun: there is no list of servers yet.
+    RefusedUnlisted,
     /// Refused unrun: this host is about to stop.
     RefusedLeaving,
     /// No route, or a request that breaks a limit.
@@ -43,6 +45,7 @@
             Self::RefusedFull => "refused_full",
             Self::RefusedNoServer => "refused_no_server",
             Self::RefusedUnconfigured => "refused_unconfigured",
+            Self::RefusedUnlisted => "refused_unlisted",
             Self::RefusedLeaving => "refused_leaving",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -116,6 +116,9 @@
                 come_back_ms,
                 free_slots,
             } => {
+                if !self.host.fleet.borrow().is_listed() {
+                    return Err(RequestFailure::UNLISTED);
+                }
                 let failure = RequestFailure::without_server(reason, come_back_ms);
                 Err(failure.with_free_slots(free_slots))
             }
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -30,7 +30,9 @@
     pub(super) const fn code(&self) -> ResultCode {
         match (self.end, self.status) {
             (RequestEnd::RefusedFull, _) => ResultCode::BudgetExhausted,
-            (RequestEnd::RefusedNoServer, _) => ResultCode::NoHealthyServer,
+            (RequestEnd::RefusedNoServer | RequestEnd::RefusedUnlisted, _) => {
+                ResultCode::NoHealthyServer
+            }
             (RequestEnd::RefusedUnconfigured, _) => ResultCode::ConfigurationMissing,
             (RequestEnd::RefusedLeaving, _) => ResultCode::HostLeaving,
             (RequestEnd::Rejected, http::StatusCode::NOT_FOUND) => ResultCode::ServiceUnknown,
@@ -52,6 +54,12 @@
         NO_CONFIGURATION_MS,
         "no configuration yet",
     );
+    /// There is no list of servers yet.
+    pub(super) const UNLISTED: Self = Self::refused(
+        RequestEnd::RefusedUnlisted,
+        NO_CONFIGURATION_MS,
+        "no list of servers yet",
+    );
     /// This host stops too soon.
     pub(super) const LEAVING: Self = Self::refused(
         RequestEnd::RefusedLeaving,
--- a/src/request_story.rs
+++ b/src/request_story.rs
@@ -58,7 +58,7 @@
         for text in lines {
             match StoryLine::from_text(text) {
                 Some(line) if line.names("id", id) => story.lines.push(line),
-                Some(line) if line.fields.contains_key("server") => others.push(line),
+                Some(line) if line.tells_of_servers() => others.push(line),
                 Some(_) => {}
                 None => story.passed_over += 1,
             }
@@ -77,7 +77,8 @@
     /// Whether a line tells of a server that the request was offered to, about that time.
     fn concerns(&self, line: &StoryLine) -> bool {
         self.lines.iter().any(|own| {
-            own.fields.get("server") == line.fields.get("server")
+            let server = own.fields.get("server");
+            server.is_some_and(|server| line.names_server(server))
                 && own.host == line.host
                 && own.unix_ms.abs_diff(line.unix_ms) <= NEAR_MS
         })
@@ -85,6 +86,17 @@
 }
 
 impl StoryLine {
+    fn tells_of_servers(&self) -> bool {
+        self.fields.contains_key("server") || self.fields.contains_key("servers")
+    }
+
+    /// Whether it names a server, by itself or among others of which it tells.
+    fn names_server(&self, server: &Value) -> bool {
+        let several = self.fields.get("servers").and_then(Value::as_array);
+        self.fields.get("server") == Some(server)
+            || several.is_some_and(|servers| servers.contains(server))
+    }
+
     fn from_text(text: &str) -> Option<Self> {
         let start = text.find('{')?;
         let mut fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
--- a/tests/request_story.rs
+++ b/tests/request_story.rs
@@ -62,3 +62,15 @@
         prop_assert!(story.lines.len() + story.passed_over <= lines.len());
     }
 }
+
+#[test]
+fn a_line_that_tells_of_several_servers_belongs_to_the_requests_of_each() {
+    let logs = [
+        line(100, "b", "EV5010", r#""id":"r-1","server":"i-7""#),
+        line(97, "b", "EV5004", r#""count":9,"servers":["i-6","i-7"]"#),
+        line(98, "b", "EV5004", r#""count":9,"servers":["i-6","i-9"]"#),
+    ];
+    let story = RequestStory::from_lines("r-1", logs.iter().map(String::as_str));
+    let told: Vec<u64> = story.lines.iter().map(|line| line.unix_ms).collect();
+    assert_eq!(told, [97, 100]);
+}
