--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -54,7 +54,6 @@
 pub mod region_shares;
 pub mod request;
 mod request_failure;
-pub mod rest_time;
 pub mod route_times;
 pub mod self_report;
 pub mod server;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -8,7 +8,6 @@
 use hyper_util::rt::TokioIo;
 
 use super::fleet_server::FleetServer;
-use super::rest_time::RestTime;
 use crate::silence_probe;
 use crate::timer::Moment;
 
@@ -38,7 +37,6 @@
 #[derive(Debug, Default)]
 pub struct ServerPool {
     idle: collections::HashMap<String, Vec<IdleConnection>>,
-    rest: RestTime,
 }
 
 impl ServerPool {
@@ -52,16 +50,14 @@
         let idle = self.idle.get_mut(server_id)?;
         while let Some(connection) = idle.pop() {
             let stale = now >= connection.until;
-            let rested_ms = now.since(connection.since);
+            let rested = now.since(connection.since) > FRESH_MS;
             if stale || !connection.sender.is_ready() {
-                self.rest.on_end(rested_ms, false);
                 continue;
             }
-            if must_be_fresh && rested_ms > FRESH_MS {
+            if must_be_fresh && rested {
                 idle.push(connection);
                 return None;
             }
-            self.rest.on_end(rested_ms, true);
             return Some(connection.sender);
         }
         None
@@ -84,21 +80,14 @@
         idle.push(IdleConnection {
             sender,
             since: now,
-            until: now.plus(self.rest.next_ms(keep_ms)),
+            until: now.plus(keep_ms),
         });
     }
 
     /// Closes what rested too long, and the connections of servers that are gone.
     pub fn on_tick(&mut self, is_gone: impl Fn(&str) -> bool, now: Moment) {
-        let rest = &mut self.rest;
         self.idle.retain(|server_id, idle| {
-            idle.retain(|connection| {
-                let is_sound = now < connection.until && !connection.sender.is_closed();
-                if !is_sound {
-                    rest.on_end(now.since(connection.since), false);
-                }
-                is_sound
-            });
+            idle.retain(|connection| now < connection.until && !connection.sender.is_closed());
             !idle.is_empty() && !is_gone(server_id)
         });
     }
