--- /dev/null
+++ b/tests/common/peer_records.rs
@@ -0,0 +1,37 @@
+//! Entry hosts and their heartbeats, as other hosts hear of them.
+
+use ledgespool::entry::peer_message::{PeerHeartbeat, WatchState};
+use ledgespool::entry::peers::HostRecord;
+
+/// The first run of a host, at an address that nobody listens on.
+pub fn record(name: &str, hall: &str, region: &str, processor_milli: u32) -> HostRecord {
+    let address = "127.0.0.1:9".parse().expect("an address");
+    HostRecord {
+        name: name.to_owned(),
+        run: 1,
+        hall: hall.to_owned(),
+        region: region.to_owned(),
+        caller_address: address,
+        peer_address: address,
+        heartbeat_address: address,
+        processor_milli,
+        region_hosts: 0,
+    }
+}
+
+/// A heartbeat with the whole record of a host that is ready and stays.
+pub fn heartbeat(record: &HostRecord, watch: WatchState) -> PeerHeartbeat {
+    PeerHeartbeat {
+        host: record.name.clone(),
+        run: record.run,
+        record: Some(record.clone()),
+        ready: true,
+        leaving: false,
+        watch,
+        configuration_version: 1,
+        fleet_changed: 1,
+        evacuation_changed: 0,
+        evacuated: Vec::new(),
+        heard: Vec::new(),
+    }
+}
--- a/tests/entry_keepers.rs
+++ b/tests/entry_keepers.rs
@@ -1,39 +1,17 @@
 //! Which hosts keep an entry in the store, how many hosts one that starts counts, and how hosts are
 //! forgotten. Load pattern: hundreds of hosts return at once and each call of the store is paid for.
 
+#[path = "common/peer_records.rs"]
+mod peer_records;
+
 use ledgespool::entry::peer_message::{PeerHeartbeat, RegionSize, WatchState};
 use ledgespool::entry::peers::{ENTRY_KEEPERS, HostRecord, PeerTable};
 use ledgespool::timer::Moment;
 
-fn record(name: &str, hall: &str, region: &str, processor_milli: u32) -> HostRecord {
-    let address = "127.0.0.1:9".parse().expect("an address");
-    HostRecord {
-        name: name.to_owned(),
-        run: 1,
-        hall: hall.to_owned(),
-        region: region.to_owned(),
-        caller_address: address,
-        peer_address: address,
-        heartbeat_address: address,
-        processor_milli,
-        region_hosts: 0,
-    }
-}
+use self::peer_records::record;
 
-fn heartbeat(record: &HostRecord, leaving: bool) -> PeerHeartbeat {
-    PeerHeartbeat {
-        host: record.name.clone(),
-        run: record.run,
-        record: Some(record.clone()),
-        ready: true,
-        leaving,
-        watch: WatchState::Idle,
-        configuration_version: 1,
-        fleet_changed: 1,
-        evacuation_changed: 0,
-        evacuated: Vec::new(),
-        heard: Vec::new(),
-    }
+fn heartbeat(record: &HostRecord) -> PeerHeartbeat {
+    peer_records::heartbeat(record, WatchState::Idle)
 }
 
 /// Three halls of `per_hall` hosts, the first of each with a larger part of a core.
@@ -56,7 +34,7 @@
         for other in hosts.iter().filter(|other| other.name != own.name) {
             peers.on_record(other, Moment(0));
             if lives(&other) {
-                peers.on_heartbeat(&heartbeat(other, false), now);
+                peers.on_heartbeat(&heartbeat(other), now);
             }
         }
         peers.keeps_entry(own, now)
@@ -109,7 +87,11 @@
     let hosts = fleet(4);
     let mut peers = PeerTable::default();
     for other in &hosts[..3] {
-        peers.on_heartbeat(&heartbeat(other, true), Moment(0));
+        let leaving = PeerHeartbeat {
+            leaving: true,
+            ..heartbeat(other)
+        };
+        peers.on_heartbeat(&leaving, Moment(0));
     }
     assert!(peers.keeps_entry(&hosts[3], Moment(1)));
 }
@@ -165,7 +147,7 @@
     }
     let far = record("far", "south", "two", 100);
     peers.on_record(&far, Moment(0));
-    peers.on_heartbeat(&heartbeat(&hosts[2], false), Moment(20_000));
+    peers.on_heartbeat(&heartbeat(&hosts[2]), Moment(20_000));
     assert!(peers.abandoned_entries(own).is_empty());
     let forgotten = peers.forget_silent("one", Moment(20_001));
     assert_eq!(
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -1,5 +1,8 @@
 //! What an entry host believes of other hosts, what it tells them, and which of them watch the store.
 
+#[path = "common/peer_records.rs"]
+mod peer_records;
+
 use std::net::SocketAddr;
 
 use ledgespool::entry::peer_message::{self, HeardHost, PeerHeartbeat, PeerMessage, WatchState};
@@ -11,35 +14,10 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
-fn host(name: &str, region: &str, processor_milli: u32) -> HostRecord {
-    let address = "127.0.0.1:9".parse().expect("an address");
-    HostRecord {
-        name: name.to_owned(),
-        run: 1,
-        hall: "east".to_owned(),
-        region: region.to_owned(),
-        caller_address: address,
-        peer_address: address,
-        heartbeat_address: address,
-        processor_milli,
-        region_hosts: 0,
-    }
-}
+use self::peer_records::heartbeat;
 
-fn heartbeat(record: &HostRecord, watch: WatchState) -> PeerHeartbeat {
-    PeerHeartbeat {
-        host: record.name.clone(),
-        run: record.run,
-        record: Some(record.clone()),
-        ready: true,
-        leaving: false,
-        watch,
-        configuration_version: 1,
-        fleet_changed: 1,
-        evacuation_changed: 0,
-        evacuated: Vec::new(),
-        heard: Vec::new(),
-    }
+fn host(name: &str, region: &str, processor_milli: u32) -> HostRecord {
+    peer_records::record(name, "east", region, processor_milli)
 }
 
 #[test]
