--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -18,7 +18,7 @@
 use super::peers::{HostRecord, PeerChange};
 use super::store::{ObjectChange, ObjectContent, StoredObject};
 use super::wire::WireProtocol;
-use super::{catch_up, join, news_part};
+use super::{catch_up, join_asking, news_part};
 use crate::error::{self, Error};
 use crate::event::EventCode;
 use crate::result_code::ResultCode;
@@ -278,7 +278,7 @@
         host.on_evacuation_list(halls, heartbeat.evacuation_changed);
     }
     if heartbeat.ready && !heartbeat.leaving {
-        join::on_ready_heard(host, heartbeat);
+        join_asking::on_ready_heard(host, heartbeat);
     }
     catch_up::on_heartbeat(host, heartbeat);
 }
--- /dev/null
+++ b/src/entry/join_asking.rs
@@ -0,0 +1,278 @@
+//! How a host that starts gets what it needs to serve from other hosts.
+//!
+//! It asks the seed that it reaches first, which is the nearest, then the hosts of its hall that keep an
+//! entry in the store, and any that says that it can serve. Who answers first counts.
+
+use std::{net, rc, time};
+
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use http_body_util::Full;
+use rand::Rng as _;
+use rand::seq::IteratorRandom as _;
+use serde_json::json;
+
+use super::catch_up;
+use super::gossip;
+use super::host::EntryHost;
+use super::join;
+use super::join_role::{JoinQuestion, MAX_HOPS};
+use super::peer_message::{self, JoinAnswer, PeerHeartbeat, PeerSnapshot};
+use super::store::{ObjectStore, StoreFault};
+use super::wire::WireProtocol;
+use crate::event::EventCode;
+use crate::http_client::{self, ClientSender};
+
+/// The pause between two rounds of asking, in milliseconds; half of it at least. A process that
+/// starts at the same time listens within some ten.
+const ROUND_PAUSE_MS: u64 = 60;
+/// A connection must come up within this time: the farthest regions are 70 ms there and back.
+const CONNECT_LIMIT: time::Duration = time::Duration::from_millis(400);
+/// An answer must be here within this time: that and the transfer over a slow link.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_millis(1_300);
+/// If the first that was asked has not answered by then, a second is asked as well: it may hang.
+const SECOND_AFTER: time::Duration = time::Duration::from_millis(500);
+/// A host that starts looks for others in the store after such a time, in milliseconds: by then a seed that
+/// lives has answered, and what 295 hosts ask at once is spread a little.
+const KEEPERS_AFTER_MS: std::ops::Range<u64> = 30..80;
+/// Known hosts that are asked besides the seeds when these did not help.
+const OTHER_SOURCES: usize = 3;
+/// The largest answer, in bytes: some thousand servers and some thousand routes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Starts the tasks that ask other hosts.
+pub(super) fn spawn<W: WireProtocol, S: ObjectStore>(
+    host: &rc::Rc<EntryHost<W>>,
+    store: &rc::Rc<S>,
+) {
+    tokio::task::spawn_local(run(rc::Rc::clone(host)));
+    tokio::task::spawn_local(ask_keepers(rc::Rc::clone(host), rc::Rc::clone(store)));
+}
+
+/// Asks the hosts of the own hall that keep an entry in the store, if the seeds have not helped by then:
+/// these may start last, or not at all. Of 295 hosts that returned at once half were complete after
+/// 0.52 s without this (one play).
+async fn ask_keepers<W: WireProtocol, S: ObjectStore>(
+    host: rc::Rc<EntryHost<W>>,
+    store: rc::Rc<S>,
+) {
+    let pause_ms = host.random.borrow_mut().random_range(KEEPERS_AFTER_MS);
+    tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+    // When all start for the first time there are no entries.
+    if host.is_ready() || host.settings().first_start {
+        return;
+    }
+    let listed = tokio::time::timeout(ANSWER_LIMIT, store.list_hosts_stale()).await;
+    match listed.unwrap_or(Err(StoreFault::Unreachable)) {
+        Ok(records) => gossip::learn_hosts(&host, &records),
+        Err(fault) => {
+            let fields =
+                json!({ "kind": "hosts", "call": "stale list", "result": fault.to_string() });
+            host.note(EventCode::PlatformLost, fields);
+            return;
+        }
+    }
+    let own = host.record();
+    while !host.is_ready() && !host.is_leaving() && host.is_starting() {
+        let keepers = host.peers.borrow().hall_keepers(&own);
+        join_once(&host, &keepers).await;
+        tokio::time::sleep(time::Duration::from_millis(ROUND_PAUSE_MS)).await;
+    }
+}
+
+/// Asks other hosts until this one can serve, whoever tells it what it needs.
+async fn run<W: WireProtocol>(host: rc::Rc<EntryHost<W>>) {
+    let mut avoided = None;
+    while !host.is_ready() && !host.is_leaving() {
+        let sources = sources_of(&host, avoided);
+        avoided = join_once(&host, &sources).await;
+        if avoided.is_some() {
+            host.join.contact.set(false);
+        }
+        if host.is_ready() {
+            break;
+        }
+        let longest = ROUND_PAUSE_MS;
+        let pause_ms = host.random.borrow_mut().random_range(longest / 2..=longest);
+        tokio::time::sleep(time::Duration::from_millis(pause_ms)).await;
+    }
+    gossip::introduce(&host);
+}
+
+/// Another host says that it can serve: while this one can't, it asks that one as well.
+pub(super) fn on_ready_heard<W: WireProtocol>(
+    host: &rc::Rc<EntryHost<W>>,
+    heartbeat: &PeerHeartbeat,
+) {
+    if host.join.complete.get() || host.join.asks_heard.get() {
+        return;
+    }
+    let Some(source) = host.peers.borrow().peer_address(&heartbeat.host) else {
+        return;
+    };
+    host.join.asks_heard.set(true);
+    let host = rc::Rc::clone(host);
+    tokio::task::spawn_local(async move {
+        let asked = join_once(&host, &[source]).await;
+        host.join.asks_heard.set(false);
+        if asked.is_none() && host.is_ready() {
+            announce_elsewhere(&host, source);
+        }
+    });
+}
+
+/// Tells the own region that this host can serve, if what it needed came from another region: it is among
+/// the first here.
+fn announce_elsewhere<W: WireProtocol>(host: &EntryHost<W>, source: net::SocketAddr) {
+    let region = host.settings().region.clone();
+    let is_near = host.peers.borrow().stands_in(source, &region);
+    if !is_near {
+        gossip::announce_start(host);
+    }
+}
+
+/// The seeds, but for the one that has just failed; then also some other hosts, if any are known.
+fn sources_of<W: WireProtocol>(
+    host: &EntryHost<W>,
+    avoided: Option<net::SocketAddr>,
+) -> Vec<net::SocketAddr> {
+    let settings = host.settings();
+    let mut sources = settings.seeds.clone();
+    if avoided.is_some() {
+        let peers = host.peers.borrow();
+        let others = peers.records().map(|peer| peer.peer_address);
+        let mut random = host.random.borrow_mut();
+        sources.extend(others.choose_multiple(&mut *random, OTHER_SOURCES));
+    }
+    sources.retain(|source| *source != settings.peer_address && Some(*source) != avoided);
+    sources
+}
+
+/// Asks the first of `sources` that is reached, and a second one if that takes long. Returns who
+/// was reached and did not help.
+async fn join_once<W: WireProtocol>(
+    host: &EntryHost<W>,
+    sources: &[net::SocketAddr],
+) -> Option<net::SocketAddr> {
+    tokio::select! {
+        failed = ask_first(host, sources) => failed,
+        // Whoever told it.
+        () = host.join.completed.notified() => None,
+    }
+}
+
+async fn ask_first<W: WireProtocol>(
+    host: &EntryHost<W>,
+    sources: &[net::SocketAddr],
+) -> Option<net::SocketAddr> {
+    let (source, sender) = first_reached(sources).await?;
+    host.join.contact.set(true);
+    let mut first = std::pin::pin!(ask_along(host, source, sender));
+    let first_end = tokio::time::timeout(SECOND_AFTER, first.as_mut()).await;
+    if let Ok(end) = first_end {
+        return end.err();
+    }
+    let second = async {
+        let others: Vec<_> = sources
+            .iter()
+            .copied()
+            .filter(|other| *other != source)
+            .collect();
+        let (other, sender) = first_reached(&others).await.ok_or(source)?;
+        ask_along(host, other, sender).await
+    };
+    tokio::select! {
+        Ok(()) = first => None,
+        Ok(()) = second => None,
+        else => Some(source),
+    }
+}
+
+/// Connects to all of `sources` at once and keeps the connection that comes up first.
+async fn first_reached(sources: &[net::SocketAddr]) -> Option<(net::SocketAddr, ClientSender)> {
+    let mut opening: FuturesUnordered<_> = sources
+        .iter()
+        .map(|source| async move { (*source, http_client::connect(*source, CONNECT_LIMIT).await) })
+        .collect();
+    while let Some((source, opened)) = opening.next().await {
+        if let Ok(sender) = opened {
+            return Some((source, sender));
+        }
+    }
+    None
+}
+
+/// Asks over an open connection, and whoever is named, until somebody tells everything.
+///
+/// # Errors
+/// Who did not answer.
+async fn ask_along<W: WireProtocol>(
+    host: &EntryHost<W>,
+    first: net::SocketAddr,
+    sender: ClientSender,
+) -> Result<(), net::SocketAddr> {
+    let mut source = first;
+    let mut sender = sender;
+    for hops in 0..=MAX_HOPS {
+        match ask(host, source, sender, hops).await.ok_or(source)? {
+            JoinAnswer::Snapshot(packed) => {
+                let snapshot = packed.snapshot().ok_or(source)?;
+                take_over(host, &snapshot, source);
+                return Ok(());
+            }
+            JoinAnswer::Ask(other) => {
+                source = other;
+                let opened = http_client::connect(other, CONNECT_LIMIT).await;
+                sender = opened.map_err(|_fault| first)?;
+            }
+        }
+    }
+    Err(source)
+}
+
+fn take_over<W: WireProtocol>(
+    host: &EntryHost<W>,
+    snapshot: &PeerSnapshot,
+    source: net::SocketAddr,
+) {
+    // Another source may have been quicker.
+    if !host.is_ready() {
+        catch_up::take_over(host, snapshot, source);
+    }
+}
+
+async fn ask<W: WireProtocol>(
+    host: &EntryHost<W>,
+    source: net::SocketAddr,
+    mut sender: ClientSender,
+    hops: u8,
+) -> Option<JoinAnswer> {
+    let question = JoinQuestion {
+        record: host.record(),
+        link_mbps: host.settings().link_mbps,
+        hops,
+    };
+    let bytes = peer_message::to_bytes(&question).ok()?;
+    let request = http::Request::post(join::JOIN_PATH)
+        .header(http::header::HOST, "peer")
+        .body(Full::new(Bytes::from(bytes)))
+        .ok()?;
+    let exchange = http_client::read_answer(&mut sender, request, MAX_ANSWER_BYTES);
+    let answer = tokio::time::timeout(ANSWER_LIMIT, exchange).await;
+    let Ok(Ok(answer)) = answer else {
+        let fields = json!({ "peer": source.to_string(), "path": join::JOIN_PATH });
+        host.note(EventCode::PeerSilent, fields);
+        return None;
+    };
+    if !answer.status.is_success() {
+        return None;
+    }
+    match peer_message::from_bytes(&answer.body) {
+        Ok(answer) => Some(answer),
+        Err(fault) => {
+            host.note_malformed(&source.to_string(), &fault);
+            None
+        }
+    }
+}
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -9,7 +9,7 @@
 use super::settings::{self, EntrySettings};
 use super::store::ObjectStore;
 use super::wire::WireProtocol;
-use super::{follow, gossip, host_entries, join, listen};
+use super::{follow, gossip, host_entries, join_asking, listen};
 use crate::error;
 use crate::event::EventCode;
 
@@ -42,7 +42,7 @@
     host.note(EventCode::ProcessStarted, json!({ "run": host.run }));
     listeners.serve(&host);
     gossip::spawn(&host)?;
-    join::spawn(&host, &store);
+    join_asking::spawn(&host, &store);
     follow::spawn(&host, &store);
     host_entries::spawn(&host, &store);
     look_after(&host, &store, file, signals).await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,6 +36,7 @@
 mod host_entries;
 pub mod host_fleet;
 mod join;
+mod join_asking;
 pub mod join_role;
 pub mod lapse_hold;
 pub mod lifecycle;
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -131,7 +131,8 @@
 /// The other entry hosts.
 #[derive(Debug, Default)]
 pub struct PeerTable {
-    peers: collections::HashMap<String, PeerEntry>,
+    /// Its order is the same in each run, so that what a random source of the same seed chooses from it is.
+    peers: rustc_hash::FxHashMap<String, PeerEntry>,
     /// Names by their short hashes.
     names: collections::HashMap<u32, String>,
     /// How many hosts of each region are known.
