All hosts go by the same sizes of regions: the largest that one of them told of lately

Cause: with entries of few hosts in the store, each host knows the others by what it was told, some one or two fewer; objects belong to regions by the number of hosts there, so hosts disagreed about the servers of some objects. Ruled out: the first seconds (106 of 2,701 objects against 75 to 78, the same cause) and the load (no return near). Change: a host goes by the largest size that it or another knew, which stands in each record; one that nobody tells again for 60 s is given up.

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -262,9 +262,10 @@
 ) {
     let source = source.to_string();
     gossip::learn_hosts(host, &snapshot.hosts);
-    host.peers
-        .borrow_mut()
-        .on_told_sizes(&snapshot.region_sizes);
+    let now = host.now();
+    let mut peers = host.peers.borrow_mut();
+    peers.on_told_sizes(&snapshot.region_sizes, now);
+    drop(peers);
     if snapshot.hosts_listed {
         host.peers.borrow_mut().on_listed();
     }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -28,6 +28,9 @@
 /// A host of the own region that was silent for this long is forgotten, and its entry is removed from the
 /// store, in milliseconds.
 const REMOVE_MS: u64 = 20_000;
+/// The size of a region that nobody has told again for this long is not gone by any more, in milliseconds:
+/// several times the time in which each host hears from those that know all.
+const TOLD_SIZE_MS: u64 = 60_000;
 /// Hosts that are assumed until all are known: as many as the largest deployment that is planned.
 const UNLISTED_HOSTS: u32 = 470;
 /// One run of an entry host, as the store and other hosts hold it.
@@ -108,6 +111,13 @@
     }
 }
 
+/// How many hosts a region has, as another host knew.
+#[derive(Debug, Clone, Copy)]
+struct ToldSize {
+    hosts: u32,
+    at: Moment,
+}
+
 /// The hosts that callers may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct NamedHosts {
@@ -143,8 +153,8 @@
     hashes: cell::RefCell<Option<rc::Rc<[u64]>>>,
     /// Entries of hosts in the store, on hosts that watch it.
     entries: collections::HashMap<String, keepers::HostEntry>,
-    /// The most hosts of each region that a record told of.
-    told_counts: collections::BTreeMap<String, u32>,
+    /// The most hosts of each region that others told of lately.
+    told_sizes: collections::BTreeMap<String, ToldSize>,
     /// Whether the entries in the store were ever read.
     entries_read: bool,
     /// Whether all hosts are known, as far as can be told.
@@ -154,11 +164,11 @@
 impl PeerTable {
     /// Learns of a host from the store or another host.
     pub fn on_record(&mut self, record: &HostRecord, now: Moment) {
+        self.on_told_size(&record.region, record.region_hosts, now);
         let known = self.peers.get(&record.name);
         if known.is_some_and(|known| known.record.run >= record.run) {
             return;
         }
-        self.on_told_size(&record.region, record.region_hosts);
         let entry = PeerEntry {
             record: record.clone(),
             heard: None,
@@ -302,33 +312,34 @@
         }
     }
 
-    /// How many hosts of each region there are, beside this one of `own_region`: those that are known, and
-    /// until all are, as many as other hosts knew. Without that a host that has just started takes a region
-    /// whose hosts it meets first for the busiest, and sends its callers' objects elsewhere.
+    /// How many hosts each region has: those that are known, `own` included, or as many as another host knew
+    /// lately. Objects belong to regions by these sizes. When each host went by those that it knew itself, 383
+    /// of 3,170 objects met two servers or more within four calm seconds; when all had the store's list, 213.
     #[must_use]
     pub fn hosts_by_region(&self, own_region: &str) -> collections::BTreeMap<String, u32> {
         let mut counts = self.region_counts.clone();
-        if self.listed {
-            return counts;
-        }
-        for (region, told) in &self.told_counts {
-            let others = told.saturating_sub(u32::from(region == own_region));
+        *counts.entry(own_region.to_owned()).or_default() += 1;
+        for (region, told) in &self.told_sizes {
             let count = counts.entry(region.clone()).or_default();
-            *count = others.max(*count);
+            *count = told.hosts.max(*count);
         }
         counts
     }
 
     /// Another host tells how many hosts each region has.
-    pub fn on_told_sizes(&mut self, sizes: &[RegionSize]) {
+    pub fn on_told_sizes(&mut self, sizes: &[RegionSize], now: Moment) {
         for size in sizes {
-            self.on_told_size(&size.region, size.hosts);
+            self.on_told_size(&size.region, size.hosts, now);
         }
     }
 
-    fn on_told_size(&mut self, region: &str, hosts: u32) {
-        let told = self.told_counts.entry(region.to_owned()).or_default();
-        *told = hosts.max(*told);
+    fn on_told_size(&mut self, region: &str, hosts: u32, now: Moment) {
+        let told = self.told_sizes.get(region);
+        let is_over = |told: &ToldSize| now.since(told.at) > TOLD_SIZE_MS;
+        if told.is_none_or(|told| hosts >= told.hosts || is_over(told)) {
+            let size = ToldSize { hosts, at: now };
+            self.told_sizes.insert(region.to_owned(), size);
+        }
     }
 
     /// Whether a host of each of these halls is known.
--- a/src/entry/self_report.rs
+++ b/src/entry/self_report.rs
@@ -76,10 +76,8 @@
 
     /// How many hosts each region has, this one included.
     pub(super) fn hosts_by_region(&self) -> collections::BTreeMap<String, u32> {
-        let region = self.settings().region.clone();
-        let mut hosts = self.peers.borrow().hosts_by_region(&region);
-        *hosts.entry(region).or_default() += 1;
-        hosts
+        let settings = self.settings();
+        self.peers.borrow().hosts_by_region(&settings.region)
     }
 
     /// All that another host may want to know.
