--- a/src/entry/join_asking.rs
+++ b/src/entry/join_asking.rs
@@ -51,8 +51,8 @@
 }
 
 /// Asks the hosts of the own hall that keep an entry in the store, if the seeds have not helped by then:
-/// these may start last, or not at all. Of 295 hosts that returned at once half were complete after
-/// 0.52 s without this (one play).
+/// these may start last, or not at all. When 295 hosts returned at once it saved calls of the store, 1,729 to
+/// 1,414 on that day, and no time: half were complete after 0.52 s with and without it (a play each).
 async fn ask_keepers<W: WireProtocol, S: ObjectStore>(
     host: rc::Rc<EntryHost<W>>,
     store: rc::Rc<S>,
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -43,7 +43,7 @@
 
 /// How long an answer holds that names hosts of another region, until some of the caller's own are known
 /// to live. Their hosts send the caller's objects to servers that don't know them: five seconds after the
-/// return of all hosts 12 requests in 100 were late with the whole time, and 4 with this (a play each).
+/// return of all hosts 12 requests in 100 were late with the whole time, and 4 with this (a play each, with other changes of the start between them).
 const STOPGAP_TIME_TO_LIVE: time::Duration = time::Duration::from_secs(1);
 
 /// The open sockets of a host.
