--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -9,6 +9,7 @@
 use ledgespool::entry::budget::ColdShare;
 use ledgespool::entry::choice::{self, ChoiceQuery};
 use ledgespool::entry::fleet::Fleet;
+use ledgespool::entry::hash;
 use ledgespool::entry::lapse_hold::MissingSource;
 use ledgespool::entry::region_distance::RegionDistances;
 use ledgespool::entry::region_shares::{RegionRoom, RegionWeights};
@@ -53,7 +54,7 @@
     for number in 0..CHOICES {
         let query = ChoiceQuery {
             servers: fleet.of_service("desk"),
-            object: objects.map(|objects| choice::mix(number % objects)),
+            object: objects.map(|objects| hash::mix(number % objects)),
             region: "region-0",
             distances: &distances,
             weights: &weights,
--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -6,8 +6,8 @@
 
 use std::{collections, rc};
 
-use super::choice;
 use super::fleet_server::FleetServer;
+use super::hash;
 use crate::timer::Moment;
 
 /// Of a shared limit, the part that the hosts plan with; the rest covers requests that are counted
@@ -47,7 +47,7 @@
         let Some(others) = &self.other_hashes else {
             return false;
         };
-        let place = |hash: u64| choice::mix(hash ^ server.hash);
+        let place = |hash: u64| hash::mix(hash ^ server.hash);
         let own_place = place(self.own_hash);
         let before = others.iter().filter(|hash| place(**hash) < own_place);
         sent < 1.0 && (before.count() as f64) < planned.floor()
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -17,6 +17,7 @@
 
 use super::budget;
 use super::fleet_server::FleetServer;
+use super::hash;
 use super::offer_record::ExpectedAnswer;
 use super::region_distance::RegionDistances;
 use super::region_shares::RegionWeights;
@@ -254,21 +255,8 @@
 }
 
 /// A hash as a number above 0 and up to 1, of its upper 53 bits.
-fn uniform(hash: u64) -> f64 {
-    ((mix(hash) >> 11) as f64 + 1.0) / (1_u64 << 53) as f64
-}
-
-/// Spreads a hash over all its bits: the finalizer of `SplitMix64` (Steele, Lea and Flood, 2014).
-///
-/// ```
-/// use ledgespool::entry::choice;
-/// assert_ne!(choice::mix(1), choice::mix(2));
-/// ```
-#[must_use]
-pub const fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
+fn uniform(drawn: u64) -> f64 {
+    ((hash::mix(drawn) >> 11) as f64 + 1.0) / (1_u64 << 53) as f64
 }
 
 /// A few at random, among which the earliest expected answer decides: two choices are nearly as
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -3,8 +3,7 @@
 
 use std::{cell, collections, net};
 
-use xxhash_rust::xxh3;
-
+use super::hash;
 use super::server::{ServerLoad, ServerRecord, ServerState};
 use crate::timer::Moment;
 
@@ -105,7 +104,7 @@
             hall: record.hall.clone(),
             region: region.to_owned(),
             slots: record.slots.max(1),
-            hash: xxh3::xxh3_64(record.id.as_bytes()),
+            hash: hash::of_name(&record.id),
             view: cell::RefCell::default(),
         }
     }
--- a/src/entry/host_budget.rs
+++ b/src/entry/host_budget.rs
@@ -1,8 +1,8 @@
 //! A host's own parts of the [budgets](super::budget) that all hosts share.
 
 use super::budget::{ColdShare, RetryShare, RetryWindow};
+use super::hash;
 use super::host::EntryHost;
-use super::peers;
 use super::wire::WireProtocol;
 
 impl<W: WireProtocol> EntryHost<W> {
@@ -13,7 +13,7 @@
         ColdShare {
             all_per_s: cold_per_s * settings.bounds.cold_factor + settings.bounds.cold_slack,
             hosts: self.peers.borrow().host_count(),
-            own_hash: peers::name_hash(&settings.name),
+            own_hash: hash::of_name(&settings.name),
             other_hashes: self.peers.borrow().other_hashes(),
         }
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 pub mod fleet_told;
 pub mod follow;
 pub mod gossip;
+pub mod hash;
 pub mod host;
 pub mod host_budget;
 mod host_entries;
--- a/src/entry/peers/heard.rs
+++ b/src/entry/peers/heard.rs
@@ -6,6 +6,7 @@
 //! counted from there, not from when it was repeated.
 
 use super::{INDIRECT_SILENT_MS, PeerEntry, PeerTable};
+use crate::entry::hash;
 use crate::entry::peer_message::HeardHost;
 use crate::timer::Moment;
 
@@ -71,7 +72,7 @@
 
 /// The lower half of the hash of a name, which is enough to tell some hundred names apart.
 pub(super) fn short_hash(name: &str) -> u32 {
-    super::name_hash(name) as u32
+    hash::of_name(name) as u32
 }
 
 /// The lower part of a run's number, which tells it from those shortly before.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -10,11 +10,10 @@
 
 use std::{cell, collections, net, rc};
 
-use xxhash_rust::xxh3;
-
 pub use self::keepers::ENTRY_KEEPERS;
 pub use self::targets::NEAR_TARGETS;
 pub use self::watchers::WATCHERS;
+use super::hash;
 use super::peer_message::{PeerHeartbeat, RegionSize, WatchState};
 use crate::timer::Moment;
 
@@ -57,11 +56,6 @@
     pub region_hosts: u32,
 }
 
-/// The hash of a host's name, by which all hosts rank it alike.
-pub(super) fn name_hash(name: &str) -> u64 {
-    xxh3::xxh3_64(name.as_bytes())
-}
-
 /// What is known of one of them.
 #[derive(Debug)]
 struct PeerEntry {
@@ -237,7 +231,7 @@
     /// Hashes of the names of all others; `None` until the whole list was read.
     #[must_use]
     pub fn other_hashes(&self) -> Option<rc::Rc<[u64]>> {
-        let hash_all = || self.peers.keys().map(|name| name_hash(name)).collect();
+        let hash_all = || self.peers.keys().map(|name| hash::of_name(name)).collect();
         self.listed.then(|| {
             let mut hashes = self.hashes.borrow_mut();
             rc::Rc::clone(hashes.get_or_insert_with(hash_all))
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -10,8 +10,8 @@
 use rand::seq::IteratorRandom as _;
 
 use super::{HostRecord, PeerTable, REMOVE_MS};
+use crate::entry::hash;
 use crate::entry::peer_message::WatchState;
-use crate::entry::{choice, peers};
 use crate::timer::Moment;
 
 /// Hosts of the own region that each heartbeat goes to, at most. With eight, the word of a host has
@@ -113,13 +113,13 @@
     #[must_use]
     pub fn news_targets(&self, own: &HostRecord, now: Moment) -> Vec<net::SocketAddr> {
         let watchers = self.watcher_hashes(&own.region, now);
-        let own_hash = peers::name_hash(&own.name);
+        let own_hash = hash::of_name(&own.name);
         let targets = self.near(&own.region).filter(|target| {
-            let target = peers::name_hash(&target.record.name);
-            let own_rank = choice::mix(own_hash ^ target);
+            let target = hash::of_name(&target.record.name);
+            let own_rank = hash::mix(own_hash ^ target);
             watchers
                 .iter()
-                .all(|watcher| own_rank <= choice::mix(watcher ^ target))
+                .all(|watcher| own_rank <= hash::mix(watcher ^ target))
         });
         targets.map(|peer| peer.record.heartbeat_address).collect()
     }
@@ -151,7 +151,7 @@
             .near(region)
             .filter(|peer| peer.watch == WatchState::Watching && peer.stays(now, silent_ms));
         watchers
-            .map(|peer| peers::name_hash(&peer.record.name))
+            .map(|peer| hash::of_name(&peer.record.name))
             .collect()
     }
 
--- a/src/entry/peers/watchers.rs
+++ b/src/entry/peers/watchers.rs
@@ -7,6 +7,7 @@
 use std::cmp;
 
 use super::{HostRecord, PeerTable};
+use crate::entry::hash;
 use crate::entry::peer_message::WatchState;
 use crate::timer::Moment;
 
@@ -50,7 +51,7 @@
     pub(super) fn watch_order(&self) -> (cmp::Reverse<u32>, u64) {
         (
             cmp::Reverse(self.processor_milli),
-            super::name_hash(&self.name),
+            hash::of_name(&self.name),
         )
     }
 }
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -10,6 +10,7 @@
     CallerLimits, RequestKind, RouteRule, RouteTable, ServiceConfiguration, ServiceShare,
 };
 use ledgespool::entry::fleet::Fleet;
+use ledgespool::entry::hash;
 use ledgespool::entry::lapse_hold::MissingSource;
 use ledgespool::entry::region_distance::RegionDistances;
 use ledgespool::entry::region_shares::{RegionRoom, RegionWeights};
@@ -152,7 +153,7 @@
         .filter(|server| !query.evacuated.contains(&server.hall))
         .filter(|server| !query.tried.contains(&server.id))
         .map(|server| {
-            let drawn = choice::mix(object ^ server.hash) >> 11;
+            let drawn = hash::mix(object ^ server.hash) >> 11;
             let drawn = (drawn as f64 + 1.0) / (1_u64 << 53) as f64;
             let far = query.near && server.region != query.region;
             (
