Customers: keys, names, homes and fixed parts of each limit

Cause: the configuration's customers were not read, so keys went on to backend servers, unknown and withdrawn keys were served, homes of customers did not bind, and limits did not exist.

Change: the adapter decodes customers, and turns each key into a digest at once, so that no host holds a key or sends one to another. A request of a route that is not public needs one known key (401, LS2026); the customer's name goes on, the key and a forged name do not; homes of route and customer both bind (LS2028 when they have none in common); each host keeps a fixed part of each limit (429, LS2027), which is by construction within the bound over all hosts.

--- a/src/entry/configuration.rs
+++ b/src/entry/configuration.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use super::customer::{CustomerRule, CustomerTable};
 use super::peer_message::{self, PeerFormatError};
 
 /// A whole configuration as the store holds it.
@@ -17,6 +18,8 @@
     pub services: Vec<ServiceRule>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// Who may ask. `None` where nobody is asked who they are; then no request needs a key.
+    pub customers: Option<Vec<rc::Rc<CustomerRule>>>,
 }
 
 /// What a route's requests may suffer.
@@ -78,6 +81,8 @@
     pub shares: Vec<ServiceShare>,
     /// The only regions that may serve it; empty for all.
     pub homes: Vec<String>,
+    /// Whether its requests need no key.
+    pub public: bool,
 }
 
 /// What is known of a service beside its servers.
@@ -113,6 +118,8 @@
 pub struct RouteTable {
     configuration: ServiceConfiguration,
     routes: Vec<rc::Rc<RouteRule>>,
+    /// `None` where requests need no key.
+    customers: Option<CustomerTable>,
     /// The configuration as other hosts are sent it, once one has asked.
     written: cell::OnceCell<Bytes>,
 }
@@ -126,9 +133,12 @@
             let by_host = a.host.cmp(&b.host);
             by_host.then_with(|| b.prefix.len().cmp(&a.prefix.len()))
         });
+        let customers = configuration.customers.as_deref();
+        let customers = customers.map(CustomerTable::from_rules);
         Self {
             configuration,
             routes,
+            customers,
             written: cell::OnceCell::new(),
         }
     }
@@ -163,6 +173,12 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The customers by their keys; `None` where requests need no key.
+    #[must_use]
+    pub const fn customers(&self) -> Option<&CustomerTable> {
+        self.customers.as_ref()
+    }
+
     /// The rule of a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceRule> {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -14,11 +14,13 @@
 use super::budget::RetryWindow;
 use super::catch_up::OpenFetches;
 use super::configuration::{RouteTable, ServiceConfiguration};
+use super::customer::CustomerTable;
 use super::decision_log::{DecisionLog, LineWeight};
 use super::evacuation::EvacuationList;
 use super::fleet::Fleet;
 use super::gossip::PeerSocket;
 use super::join::{self, JoinState};
+use super::limits::fixed::FixedParts;
 use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::peer_message::PeerFormatError;
 use super::peers::PeerTable;
@@ -71,6 +73,7 @@
     pub(super) route_times: cell::RefCell<RouteTimeTable>,
     pub(super) region_weights: WeightCache,
     pub(super) stop: StopState,
+    pub(super) limit_parts: cell::RefCell<FixedParts>,
 }
 
 impl<W: WireProtocol> EntryHost<W> {
@@ -104,6 +107,7 @@
             route_times: cell::RefCell::default(),
             region_weights: WeightCache::default(),
             stop: StopState::default(),
+            limit_parts: cell::RefCell::default(),
         }
     }
 
@@ -146,11 +150,23 @@
             "source": source,
         });
         let table = RouteTable::from_configuration(configuration.clone());
+        self.note_customer_faults(&table);
         *self.routes.borrow_mut() = Some(rc::Rc::new(table));
         self.note(EventCode::ConfigInstalled, fields);
         self.on_learned(source);
     }
 
+    fn note_customer_faults(&self, table: &RouteTable) {
+        let faults = table.customers().map_or(&[][..], CustomerTable::faults);
+        for fault in faults {
+            let fields = json!({
+                "version": table.configuration().version,
+                "fault": fault.to_string(),
+            });
+            self.note(EventCode::CustomerUnfit, fields);
+        }
+    }
+
     /// Writes an important log line.
     pub fn note(&self, event: EventCode, fields: serde_json::Value) {
         self.log.write(event, LineWeight::Important, fields);
--- /dev/null
+++ b/src/entry/limits/bucket.rs
@@ -0,0 +1,65 @@
+//! A bucket of rights to let requests through.
+
+use crate::timer::Moment;
+
+/// How a bucket fills.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BucketPace {
+    /// Rights that come in a second.
+    pub per_s: f64,
+    /// Rights that it holds at most.
+    pub most: f64,
+}
+
+/// Holds rights; they come at a steady pace until it is full.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TokenBucket {
+    rights: f64,
+    at: Moment,
+}
+
+impl TokenBucket {
+    /// A bucket that holds `rights` at `now`.
+    #[must_use]
+    pub const fn with_rights(rights: f64, now: Moment) -> Self {
+        Self { rights, at: now }
+    }
+
+    /// Lets it fill up to `now`.
+    pub fn fill(&mut self, pace: &BucketPace, now: Moment) {
+        let came = pace.per_s * now.since(self.at) as f64 / 1_000.0;
+        self.rights = (self.rights + came).min(pace.most);
+        self.at = self.at.max(now);
+    }
+
+    /// Takes `count` rights if it holds as many.
+    ///
+    /// ```
+    /// use ledgespool::entry::limits::bucket::{BucketPace, TokenBucket};
+    /// use ledgespool::timer::Moment;
+    /// let pace = BucketPace { per_s: 2.0, most: 1.0 };
+    /// let mut bucket = TokenBucket::with_rights(0.0, Moment(0));
+    /// bucket.fill(&pace, Moment(400));
+    /// assert!(!bucket.take(1.0));
+    /// bucket.fill(&pace, Moment(500));
+    /// assert!(bucket.take(1.0));
+    /// ```
+    pub fn take(&mut self, count: f64) -> bool {
+        if self.rights < count {
+            return false;
+        }
+        self.rights -= count;
+        true
+    }
+
+    /// Gives rights back that were taken and not used, or adds those that others gave.
+    pub fn put(&mut self, count: f64, pace: &BucketPace) {
+        self.rights = (self.rights + count).min(pace.most);
+    }
+
+    /// What it holds.
+    #[must_use]
+    pub const fn rights(&self) -> f64 {
+        self.rights
+    }
+}
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -26,6 +26,10 @@
     RefusedUnlisted,
     /// Refused unrun: this host is about to stop.
     RefusedLeaving,
+    /// Refused unrun: its customer's limit leaves no room.
+    RefusedLimit,
+    /// Refused unrun: no region may serve both its route and its customer.
+    RefusedHomes,
     /// No route, or a request that breaks a limit.
     Rejected,
     /// Sent, and no answer that can be trusted came.
@@ -47,6 +51,8 @@
             Self::RefusedUnconfigured => "refused_unconfigured",
             Self::RefusedUnlisted => "refused_unlisted",
             Self::RefusedLeaving => "refused_leaving",
+            Self::RefusedLimit => "refused_limit",
+            Self::RefusedHomes => "refused_homes",
             Self::Rejected => "rejected",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -38,10 +38,26 @@
     pub(super) offer: OfferRecord,
 }
 
-/// Offers the request until a server answers or nothing more may be tried.
+/// Offers the request, if its customer's limit has room, until a server answers or nothing more may be
+/// tried.
 pub(super) async fn run<W: WireProtocol>(
     host: &EntryHost<W>,
     open: &OpenRequest,
+) -> Result<AnsweredRequest, RequestFailure> {
+    let Some(customer) = &open.customer else {
+        return offer_in_turn(host, open).await;
+    };
+    host.admit(customer)?;
+    let result = offer_in_turn(host, open).await;
+    if result.as_ref().is_err_and(RequestFailure::has_not_run) {
+        host.give_right_back(customer);
+    }
+    result
+}
+
+async fn offer_in_turn<W: WireProtocol>(
+    host: &EntryHost<W>,
+    open: &OpenRequest,
 ) -> Result<AnsweredRequest, RequestFailure> {
     let mut series = OfferSeries {
         host,
@@ -141,7 +157,7 @@
             object: open.object,
             region: &settings.region,
             distances: &distances,
-            homes: &route.homes,
+            homes: &open.homes,
             evacuated: &evacuated,
             tried: &self.tried,
             near: route.kind == RequestKind::Download,
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -8,10 +8,11 @@
 use xxhash_rust::xxh3;
 
 use super::configuration::{RouteRule, RouteTable};
+use super::customer::{self, CustomerRule};
 use super::exchange::ForwardRequest;
 use super::host::EntryHost;
 use super::request_failure::RequestFailure;
-use super::wire::{CallerHead, WireProtocol};
+use super::wire::{CallerHead, CallerKey, WireProtocol};
 use crate::connection_headers;
 use crate::timer::Moment;
 
@@ -23,6 +24,10 @@
 pub(super) struct OpenRequest {
     /// What servers are offered.
     pub(super) forward: ForwardRequest,
+    /// Who asks, where requests need a key.
+    pub(super) customer: Option<rc::Rc<CustomerRule>>,
+    /// The only regions that may serve it; empty for all.
+    pub(super) homes: Vec<String>,
     /// Its route.
     pub(super) route: rc::Rc<RouteRule>,
     /// The service that was drawn for it from those of the route.
@@ -50,15 +55,22 @@
             return Err(RequestFailure::HEAD_TOO_LARGE);
         }
         let route = route_of(&routes, &head).ok_or(RequestFailure::NO_ROUTE)?;
+        let caller = host.wire.read_caller(&head.headers);
+        let customer = customer_of(&routes, &route, caller.key)?;
+        let homes = homes_of(&route, customer.as_deref())?;
         let service = draw_service(host, &route);
         let limit = routes.configuration().limits.body_bytes;
         let body = read_body(body, usize::try_from(limit).unwrap_or(usize::MAX)).await?;
-        let caller = host.wire.read_caller(&head.headers);
         let deadline = arrived.plus(longest_time(&caller, &route).as_millis() as u64);
         if host.ends_before(deadline) {
             return Err(RequestFailure::LEAVING);
         }
+        let mut headers = connection_headers::end_to_end(&head.headers);
+        let name = customer.as_ref().map(|customer| customer.name.as_str());
+        host.wire.write_customer(&mut headers, name);
         Ok(Self {
+            customer,
+            homes,
             object: object_of(&caller, &route),
             arrived,
             deadline,
@@ -68,7 +80,7 @@
                 id: caller.request_id.map(str::to_owned),
                 method: head.method,
                 uri: path_only(&head.uri),
-                headers: connection_headers::end_to_end(&head.headers),
+                headers,
                 body,
                 may_repeat: route.kind.may_repeat(),
             },
@@ -95,6 +107,34 @@
     route.map(rc::Rc::clone)
 }
 
+/// Who asks. A key on a public route still says who, if a customer holds it.
+fn customer_of(
+    routes: &RouteTable,
+    route: &RouteRule,
+    key: CallerKey,
+) -> Result<Option<rc::Rc<CustomerRule>>, RequestFailure> {
+    let Some(customers) = routes.customers() else {
+        return Ok(None);
+    };
+    let failure = match key {
+        CallerKey::Given(key) => match customers.holder_of(key) {
+            Some(customer) => return Ok(Some(rc::Rc::clone(customer))),
+            None => RequestFailure::key_unknown(key),
+        },
+        CallerKey::Missing => RequestFailure::KEY_MISSING,
+        CallerKey::Several => RequestFailure::KEYS_SEVERAL,
+    };
+    if route.public { Ok(None) } else { Err(failure) }
+}
+
+fn homes_of(
+    route: &RouteRule,
+    customer: Option<&CustomerRule>,
+) -> Result<Vec<String>, RequestFailure> {
+    let others = customer.map_or(&[][..], |customer| &customer.homes);
+    customer::common_homes(&route.homes, others).ok_or(RequestFailure::HOMES_APART)
+}
+
 fn draw_service<W: WireProtocol>(host: &EntryHost<W>, route: &RouteRule) -> String {
     let point = rand::Rng::random::<f64>(&mut *host.random.borrow_mut());
     route.service_at(point).unwrap_or_default().to_owned()
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -10,7 +10,7 @@
 
 /// The number of the format. Hosts pass over messages of another one, so that two versions of the
 /// program can run side by side while it is replaced.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 
 /// Why a message of another host could not be understood.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,6 +8,7 @@
 
 use super::answer::{AnswerBody, StreamEnd};
 use super::configuration::RouteRule;
+use super::customer::CustomerRule;
 use super::decision_log::LineWeight;
 use super::exchange;
 use super::fleet_server::FleetServer;
@@ -36,6 +37,7 @@
     let response = match OpenRequest::read(&host, request, guard.arrived).await {
         Ok(open) => {
             guard.route = Some(rc::Rc::clone(&open.route));
+            guard.customer.clone_from(&open.customer);
             match offers::run(&host, &open).await {
                 Ok(answered) => pass_on(&host, &open, answered),
                 Err(failure) => guard.fail(failure),
@@ -54,6 +56,8 @@
     id: String,
     /// Once it is found.
     route: Option<rc::Rc<RouteRule>>,
+    /// Who asks, once it is known.
+    customer: Option<rc::Rc<CustomerRule>>,
     arrived: Moment,
     ended: bool,
 }
@@ -66,6 +70,7 @@
             id: id.unwrap_or_default().to_owned(),
             host: rc::Rc::clone(host),
             route: None,
+            customer: None,
             arrived: host.now(),
             ended: false,
         }
@@ -93,6 +98,8 @@
             "reason": failure.reason,
             "come_back_ms": failure.come_back_ms,
             "free_slots": failure.free_slots,
+            "customer": self.customer.as_ref().map(|customer| &customer.name),
+            "key": failure.key.map(|key| key.to_string()),
             "after_ms": millis,
             "version": host.configuration_version(),
             "fleet_revision": host.fleet.borrow().revision(),
@@ -207,6 +214,7 @@
         "after_ms": millis,
         "goal_ms": open.route.goal_ms,
         "time_left_ms": open.time_told.map(|left| left.as_millis() as u64),
+        "customer": open.customer.as_ref().map(|customer| &customer.name),
         "object": open.object.map(|object| format!("{object:016x}")),
         "offer": answered.offer,
     });
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -1,6 +1,7 @@
 //! Why a caller's request ends without a backend server's answer, and what the caller is told.
 
 use super::choice::NoServer;
+use super::customer::KeyDigest;
 use super::metrics_page::RequestEnd;
 use crate::result_code::ResultCode;
 
@@ -23,6 +24,8 @@
     pub(super) reason: &'static str,
     /// Free slots within reach when it was refused for want of room, for the log.
     pub(super) free_slots: Option<u32>,
+    /// The key that was refused; it prints as a fingerprint.
+    pub(super) key: Option<KeyDigest>,
 }
 
 impl RequestFailure {
@@ -35,6 +38,9 @@
             }
             (RequestEnd::RefusedUnconfigured, _) => ResultCode::ConfigurationMissing,
             (RequestEnd::RefusedLeaving, _) => ResultCode::HostLeaving,
+            (RequestEnd::RefusedLimit, _) => ResultCode::LimitReached,
+            (RequestEnd::RefusedHomes, _) => ResultCode::HomesApart,
+            (RequestEnd::Rejected, http::StatusCode::UNAUTHORIZED) => ResultCode::KeyRefused,
             (RequestEnd::Rejected, http::StatusCode::NOT_FOUND) => ResultCode::ServiceUnknown,
             (RequestEnd::Rejected, http::StatusCode::PAYLOAD_TOO_LARGE) => ResultCode::BodyTooLarge,
             (RequestEnd::Rejected, http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE) => {
@@ -68,6 +74,17 @@
     );
     /// No route fits.
     pub(super) const NO_ROUTE: Self = Self::rejected(http::StatusCode::NOT_FOUND, "no route");
+    /// It carries no key, where one is needed.
+    pub(super) const KEY_MISSING: Self = Self::rejected(http::StatusCode::UNAUTHORIZED, "no key");
+    /// It carries several keys.
+    pub(super) const KEYS_SEVERAL: Self =
+        Self::rejected(http::StatusCode::UNAUTHORIZED, "several keys");
+    /// Its route and its customer have no region in common. Coming back does not help.
+    pub(super) const HOMES_APART: Self = Self::with_status(
+        http::StatusCode::SERVICE_UNAVAILABLE,
+        RequestEnd::RefusedHomes,
+        "no region may serve both its route and its customer",
+    );
     /// Its headers exceed what is configured.
     pub(super) const HEAD_TOO_LARGE: Self = Self::rejected(
         http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -88,6 +105,7 @@
             come_back_ms: Some(come_back_ms),
             reason,
             free_slots: None,
+            key: None,
         }
     }
 
@@ -98,6 +116,7 @@
             come_back_ms: None,
             reason,
             free_slots: None,
+            key: None,
         }
     }
 
@@ -128,6 +147,38 @@
         )
     }
 
+    /// No customer holds its key.
+    pub(super) const fn key_unknown(key: KeyDigest) -> Self {
+        let failure = Self::rejected(
+            http::StatusCode::UNAUTHORIZED,
+            "a key that no customer holds",
+        );
+        Self {
+            key: Some(key),
+            ..failure
+        }
+    }
+
+    /// Its customer's limit leaves no room.
+    pub(super) const fn over_limit(come_back_ms: u64) -> Self {
+        Self {
+            status: http::StatusCode::TOO_MANY_REQUESTS,
+            ..Self::refused(
+                RequestEnd::RefusedLimit,
+                come_back_ms,
+                "the customer's limit is reached",
+            )
+        }
+    }
+
+    /// Whether no server has run it, or will.
+    pub(super) const fn has_not_run(&self) -> bool {
+        matches!(
+            self.end,
+            RequestEnd::RefusedFull | RequestEnd::RefusedNoServer | RequestEnd::RefusedUnlisted
+        )
+    }
+
     /// No server was asked.
     pub(super) const fn without_server(reason: NoServer, come_back_ms: u64) -> Self {
         match reason {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -96,6 +96,12 @@
     pub cold_factor: f64,
     /// And this many requests a second beside.
     pub cold_slack: f64,
+    /// The window over which customers' limits are counted.
+    pub limit_window: time::Duration,
+    /// What may go beyond a customer's limit, as a share of it.
+    pub limit_excess: f64,
+    /// And this many requests in a window beside.
+    pub limit_slack: f64,
 }
 
 impl SharedBounds {
@@ -161,6 +167,7 @@
     const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(5);
     const RETRY_WINDOW: time::Duration = time::Duration::from_secs(10);
     const RETRY_RATIO: f64 = 0.1;
+    const LIMIT_WINDOW: time::Duration = time::Duration::from_secs(5);
     SharedBounds {
         stop_grace: reader.optional_duration("stop_grace").unwrap_or(STOP_GRACE),
         leave_time: reader.optional_duration("leave_time").unwrap_or(LEAVE_TIME),
@@ -180,6 +187,15 @@
         cold_slack: reader
             .optional_number("cold_slack", 0.0..=1e9)
             .unwrap_or(0.0),
+        limit_window: reader
+            .optional_duration("limit_window")
+            .unwrap_or(LIMIT_WINDOW),
+        limit_excess: reader
+            .optional_number("limit_excess", 0.0..=1e9)
+            .unwrap_or(0.0),
+        limit_slack: reader
+            .optional_number("limit_slack", 0.0..=1e9)
+            .unwrap_or(0.0),
     }
 }
 
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use super::customer::KeyDigest;
 use super::server::ServerLoad;
 
 /// What a caller says of its request.
@@ -13,6 +14,19 @@
     pub time_left: Option<time::Duration>,
     /// The object that the request is about.
     pub object_key: Option<&'a str>,
+    /// The key that says who asks.
+    pub key: CallerKey,
+}
+
+/// The key of a caller's request, as a digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallerKey {
+    /// It carries none.
+    Missing,
+    /// It carries one.
+    Given(KeyDigest),
+    /// It carries several, so that none of them says who asks.
+    Several,
 }
 
 /// What a backend server's answer claims, beside its status.
@@ -65,6 +79,10 @@
         server_id: &str,
     );
 
+    /// Takes out the caller's key and what it says of its own name, and writes the name of the
+    /// customer that it was found to be.
+    fn write_customer(&self, headers: &mut http::HeaderMap, customer: Option<&str>);
+
     /// Reads the head of a server's answer.
     fn read_answer<'a>(&self, headers: &'a http::HeaderMap) -> ServerHead<'a>;
 
--- a/src/event.rs
+++ b/src/event.rs
@@ -87,6 +87,7 @@
     RequestFailed = 5011, Warn, "A request ended without a backend server's answer.";
     RequestAnswered = 5012, Info, "A backend server's answer was passed on.";
     CallerLeft = 5013, Info, "A caller left before its answer; the work on it was cancelled.";
+    CustomerUnfit = 5014, Warn, "A customer of the configuration cannot be served as it is written.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -122,6 +122,9 @@
     BodyBroken = 2023, 400, NOT_RUN, "The request body broke off or came too slowly.", "Send the body again.";
     WorkRejected = 2024, 503, NOT_RUN, "An internal ring is full; the request was refused at the door.", "Ask again after the come-back time.";
     HeadTooLarge = 2025, 431, NOT_RUN, "The request\'s headers exceed the limit.", "Send fewer or shorter headers.";
+    KeyRefused = 2026, 401, NOT_RUN, "The request carries no key, several, or one that no customer holds.", "Send the customer's key, once, or ask the operator for a new one.";
+    LimitReached = 2027, 429, NOT_RUN, "The customer's limit over all entry hosts leaves no room for the request.", "Ask again after the come-back time, or ask the operator for a higher limit.";
+    HomesApart = 2028, 503, NOT_RUN, "No region may serve both this route and this customer.", "Ask the operator to mend the homes of one of them.";
 
     TokenRejected = 3001, 401, None, "The operator token is missing or wrong.", "Pass the token with --token-file or LEDGESPOOL_TOKEN.";
     GenerationConflict = 3002, 409, None, "Another change was accepted first.", "Read the difference with `ledgespool plan` and apply again.";
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -44,6 +44,7 @@
             },
         ],
         homes: Vec::new(),
+        public: false,
     }
 }
 
@@ -58,6 +59,7 @@
             header_ms: 1,
             idle_ms: 1,
         },
+        customers: None,
     })
 }
 
