--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -90,6 +90,7 @@
                 name: id.clone(),
                 revision: 1,
                 content: ObjectContent::Server(ServerRecord {
+                    born: None,
                     id,
                     service: "desk".to_owned(),
                     address: "127.0.0.1:9".parse().expect("an address"),
--- a/src/entry/ended_servers.rs
+++ b/src/entry/ended_servers.rs
@@ -6,6 +6,8 @@
 
 use std::collections;
 
+use super::server::ServerRecord;
+
 /// Ended servers that are remembered: more than end in a minute of the busiest releases in use.
 const MAX_ENDED: usize = 1_024;
 
@@ -13,6 +15,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct EndedServer {
     id: String,
+    born: Option<u64>,
     by: u64,
     kind: EndKind,
 }
@@ -42,9 +45,10 @@
     }
 
     /// A server is gone by the store's count `by`.
-    pub(super) fn on_ended(&mut self, id: &str, by: u64, kind: EndKind) {
+    pub(super) fn on_ended(&mut self, record: &ServerRecord, by: u64, kind: EndKind) {
         self.servers.push_back(EndedServer {
-            id: id.to_owned(),
+            id: record.id.clone(),
+            born: record.born,
             by,
             kind,
         });
@@ -55,11 +59,18 @@
         }
     }
 
-    /// Whether the store removed a server's entry by its count `revision` or later: an entry of that
-    /// count is out of date.
-    pub(super) fn has_ended(&self, id: &str, revision: u64) -> bool {
-        let last = self.servers.iter().rev().find(|ended| ended.id == id);
-        last.is_some_and(|ended| ended.kind == EndKind::Removed && ended.by >= revision)
+    /// Whether the store removed the entry of this start of a server, or of a later one, by its count
+    /// `revision` or later: an entry of that count is out of date.
+    pub(super) fn has_ended(&self, record: &ServerRecord, revision: u64) -> bool {
+        let last = self
+            .servers
+            .iter()
+            .rev()
+            .find(|ended| ended.id == record.id);
+        last.is_some_and(|ended| {
+            let is_later_start = record.born > ended.born;
+            ended.kind == EndKind::Removed && ended.by >= revision && !is_later_start
+        })
     }
 
     /// The identities of those that ended past the store's count `since`; `None` when that is not
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -4,7 +4,7 @@
 //! their hall is to be emptied; own requests show how fast and how loaded each one is
 //! ([`super::fleet_server`]).
 
-use std::{collections, rc};
+use std::{cmp, collections, rc};
 
 use super::ended_servers::{EndKind, EndedServers};
 use super::fleet_change::{ChangeSpan, FleetChange, LapsedServer};
@@ -108,7 +108,7 @@
             changes.extend(self.remove(&id, revision, source, now));
         }
         for object in objects {
-            if !self.knows_newer(&object.name, object.revision) {
+            if !self.is_superseded(object) {
                 changes.extend(self.put(object, halls, now));
             }
         }
@@ -172,6 +172,20 @@
         known.is_some_and(|known| *known > revision)
     }
 
+    /// Whether an entry tells of an earlier start of its server than is known, or of the same as it stood
+    /// earlier.
+    fn is_superseded(&self, object: &StoredObject) -> bool {
+        let order = match (&object.content, self.records.get(&object.name)) {
+            (ObjectContent::Server(record), Some(known)) => record.start_order(known),
+            _ => cmp::Ordering::Equal,
+        };
+        match order {
+            cmp::Ordering::Less => true,
+            cmp::Ordering::Equal => self.knows_newer(&object.name, object.revision),
+            cmp::Ordering::Greater => false,
+        }
+    }
+
     /// Takes over changes in their order.
     pub fn on_changes(
         &mut self,
@@ -192,7 +206,7 @@
             .collect();
         for (change, outdated) in batch.iter().zip(outdated) {
             let id = &change.object.name;
-            if outdated || self.knows_newer(id, change.object.revision) {
+            if outdated || self.is_superseded(&change.object) {
                 continue;
             }
             if change.deleted {
@@ -211,10 +225,13 @@
 
     /// Whether a change tells of an entry whose server is known to have ended later.
     fn is_outdated(&self, change: &ObjectChange) -> bool {
-        !change.deleted
-            && self
-                .ended
-                .has_ended(&change.object.name, change.object.revision)
+        let revision = change.object.revision;
+        match &change.object.content {
+            ObjectContent::Server(record) => {
+                !change.deleted && self.ended.has_ended(record, revision)
+            }
+            _ => false,
+        }
     }
 
     /// The store's count has moved on and no server has changed.
@@ -242,15 +259,31 @@
 
     fn put(&mut self, object: &StoredObject, halls: &HallMap, now: Moment) -> Option<FleetChange> {
         match &object.content {
-            ObjectContent::Server(record) => self.put_server(object, record, halls, now),
-            ObjectContent::Unreadable(reason) => Some(FleetChange::Unreadable(format!(
-                "{}: {reason}",
-                object.name
-            ))),
+            ObjectContent::Server(record) if halls.has(&record.hall) => {
+                self.put_server(object, record, halls, now)
+            }
+            ObjectContent::Server(record) => {
+                let reason = format!("there is no hall {:?}", record.hall);
+                Some(self.put_unreadable(object, &reason))
+            }
+            ObjectContent::Unreadable(reason) => Some(self.put_unreadable(object, reason)),
             _ => None,
         }
     }
 
+    /// An entry says nothing that can be understood. Of a known server it says at least that what it said
+    /// before does not hold any more: it gets no new work until its entry can be read again.
+    fn put_unreadable(&mut self, object: &StoredObject, reason: &str) -> FleetChange {
+        if let Some(server) = self.servers.get(&object.name) {
+            self.revisions.insert(object.name.clone(), object.revision);
+            server.on_unreadable();
+            if let Some(record) = self.records.get_mut(&object.name) {
+                record.state = ServerState::Draining;
+            }
+        }
+        FleetChange::Unreadable(format!("{}: {reason}", object.name))
+    }
+
     fn put_server(
         &mut self,
         object: &StoredObject,
@@ -258,22 +291,46 @@
         halls: &HallMap,
         now: Moment,
     ) -> Option<FleetChange> {
+        let known = self.records.get(&record.id);
+        let restarted = known.is_some_and(|known| record.start_order(known).is_gt());
         self.revisions.insert(object.name.clone(), object.revision);
-        let before = self.records.insert(record.id.clone(), record.clone());
-        if let Some(server) = self.servers.get(&record.id) {
-            if before.as_ref() == Some(record) {
-                server.on_present();
-            } else {
-                server.update(record, now);
-            }
-            let turned = before.is_some_and(|before| before.state != record.state);
-            let drains = record.state == ServerState::Draining;
-            return (turned && drains).then(|| FleetChange::Draining(record.id.clone()));
+        if !restarted && let Some(server) = self.servers.get(&record.id) {
+            let server = rc::Rc::clone(server);
+            return self.update_server(&server, record, now);
         }
+        self.records.insert(record.id.clone(), record.clone());
         let server = FleetServer::from_record(record, halls.region_of(&record.hall));
         server.update(record, now);
-        self.servers.insert(record.id.clone(), rc::Rc::new(server));
-        Some(FleetChange::Joined(record.id.clone()))
+        let before = self.servers.insert(record.id.clone(), rc::Rc::new(server));
+        Some(match before {
+            Some(before) => {
+                before.on_gone();
+                FleetChange::Restarted(record.id.clone())
+            }
+            None => FleetChange::Joined(record.id.clone()),
+        })
+    }
+
+    /// The same start of a server, as it stands now.
+    fn update_server(
+        &mut self,
+        server: &FleetServer,
+        record: &ServerRecord,
+        now: Moment,
+    ) -> Option<FleetChange> {
+        let mut record = record.clone();
+        let before = self.records.get(&record.id);
+        record.born = record.born.or(before.and_then(|before| before.born));
+        let turned = before.is_some_and(|before| before.state != record.state);
+        let drains = record.state == ServerState::Draining;
+        let change = (turned && drains).then(|| FleetChange::Draining(record.id.clone()));
+        if before == Some(&record) {
+            server.on_present();
+        } else {
+            server.update(&record, now);
+        }
+        self.records.insert(record.id.clone(), record);
+        change
     }
 
     fn remove(
@@ -303,10 +360,11 @@
 
     fn end(&mut self, id: &str, by: u64, kind: EndKind) -> Option<FleetChange> {
         let server = self.servers.remove(id)?;
-        self.records.remove(id);
         self.revisions.remove(id);
         server.on_gone();
-        self.ended.on_ended(id, by.max(self.revision), kind);
+        if let Some(record) = self.records.remove(id) {
+            self.ended.on_ended(&record, by.max(self.revision), kind);
+        }
         Some(FleetChange::Gone(id.to_owned()))
     }
 
--- a/src/entry/fleet_change.rs
+++ b/src/entry/fleet_change.rs
@@ -7,6 +7,8 @@
 pub enum FleetChange {
     /// A new incarnation.
     Joined(String),
+    /// It has started again under its identity: what was known of it is forgotten.
+    Restarted(String),
     /// It takes no new work.
     Draining(String),
     /// Its entry went missing and has perhaps only lapsed; it is kept for a moment.
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -299,6 +299,11 @@
         };
     }
 
+    /// Its entry cannot be understood any more: it gets no new work.
+    pub(super) fn on_unreadable(&self) {
+        self.view.borrow_mut().draining = true;
+    }
+
     /// Its entry stands in the store, unchanged.
     pub(super) fn on_present(&self) {
         self.view.borrow_mut().gone_at = None;
--- a/src/entry/host_fleet.rs
+++ b/src/entry/host_fleet.rs
@@ -89,6 +89,10 @@
         let (event, server) = match change {
             // Told with others above.
             FleetChange::Joined(_) | FleetChange::Gone(_) => return,
+            FleetChange::Restarted(id) => {
+                self.pool.borrow_mut().forget(id);
+                (EventCode::ServerRestarted, id)
+            }
             FleetChange::Draining(id) => (EventCode::ServerLeaving, id),
             FleetChange::Lapsed(lapsed) => (EventCode::ServerLapsed, &lapsed.id),
             FleetChange::Unreadable(reason) => (EventCode::ObjectUnreadable, reason),
--- a/src/entry/packed_servers.rs
+++ b/src/entry/packed_servers.rs
@@ -15,6 +15,7 @@
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 struct PackedServer {
     id: String,
+    born: Option<u64>,
     service: u32,
     address: std::net::SocketAddr,
     hall: u32,
@@ -39,6 +40,7 @@
                 service: packed.place_of(&record.service),
                 hall: packed.place_of(&record.hall),
                 id: record.id,
+                born: record.born,
                 address: record.address,
                 slots: record.slots,
                 state: record.state,
@@ -56,6 +58,7 @@
         self.servers.iter().filter_map(|server| {
             let record = ServerRecord {
                 id: server.id.clone(),
+                born: server.born,
                 service: self.name_at(server.service)?,
                 address: server.address,
                 hall: self.name_at(server.hall)?,
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -84,6 +84,11 @@
         });
     }
 
+    /// Closes all connections of a server.
+    pub fn forget(&mut self, server_id: &str) {
+        self.idle.remove(server_id);
+    }
+
     /// Closes what rested too long, and the connections of servers that are gone.
     pub fn on_tick(&mut self, is_gone: impl Fn(&str) -> bool, now: Moment) {
         self.idle.retain(|server_id, idle| {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,6 +1,6 @@
 //! One run of a backend server, as the store describes it.
 
-use std::net;
+use std::{cmp, net};
 
 /// Whether a server takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -11,11 +11,13 @@
     Draining,
 }
 
-/// One incarnation of a backend server: each start has an identity of its own.
+/// One incarnation of a backend server: an identity and a start.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ServerRecord {
-    /// Its identity, drawn anew at each start.
+    /// Its identity; a server may start again under the one that it had.
     pub id: String,
+    /// When it started, in Unix milliseconds by its own clock, if it tells.
+    pub born: Option<u64>,
     /// The service that it serves.
     pub service: String,
     /// Where it listens.
@@ -30,6 +32,21 @@
     pub cold_ms: u64,
 }
 
+impl ServerRecord {
+    /// How this start of the server stands to another one under the same identity. The told starts
+    /// decide, whatever the store's counts say; clocks of servers may be off, so a start that seems earlier
+    /// never replaces a later one. One that tells its start comes after one that did not; one that does not
+    /// tell it any more is taken for the same.
+    #[must_use]
+    pub fn start_order(&self, other: &Self) -> cmp::Ordering {
+        match (self.born, other.born) {
+            (Some(own), Some(other)) => own.cmp(&other),
+            (Some(_), None) => cmp::Ordering::Greater,
+            (None, _) => cmp::Ordering::Equal,
+        }
+    }
+}
+
 /// A server's record and when the store last changed it.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ServerObject {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -62,6 +62,18 @@
         self.regions.keys().map(String::as_str)
     }
 
+    /// Whether the settings name `hall`.
+    #[must_use]
+    pub fn has(&self, hall: &str) -> bool {
+        self.regions.contains_key(hall)
+    }
+
+    /// The names of all regions, each once.
+    #[must_use]
+    pub fn regions(&self) -> collections::BTreeSet<&str> {
+        self.regions.values().map(String::as_str).collect()
+    }
+
     /// The region of `hall`; empty for one that the settings do not name.
     #[must_use]
     pub fn region_of(&self, hall: &str) -> &str {
--- a/src/event.rs
+++ b/src/event.rs
@@ -88,6 +88,7 @@
     RequestAnswered = 5012, Info, "A backend server's answer was passed on.";
     CallerLeft = 5013, Info, "A caller left before its answer; the work on it was cancelled.";
     CustomerUnfit = 5014, Warn, "A customer of the configuration cannot be served as it is written.";
+    ServerRestarted = 5015, Info, "A backend server has started again under its identity; what was known of it is forgotten.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -80,6 +80,7 @@
             revision: 1,
             content: ObjectContent::Server(ServerRecord {
                 id: format!("i-{number:03}"),
+                born: None,
                 service: "desk".to_owned(),
                 address: "127.0.0.1:9".parse().expect("an address"),
                 hall: if number % 2 == 0 { "east" } else { "west" }.to_owned(),
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -23,6 +23,7 @@
 fn record(id: &str, state: ServerState, cold_ms: u64) -> ServerRecord {
     ServerRecord {
         id: id.to_owned(),
+        born: None,
         service: "desk".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         hall: "east".to_owned(),
