Losses: callers with deadlines of their own have not come back for that; benchmark of the key search

Cause: the longest told deadline of a route was taken for what all its callers begin with, so that on a deployment where each caller has its own (0 to 15 in 100 under the usual) 9,446 of 27,116 requests were said to have come back. Now the time that all but 5 in 100 told at least counts where told times differ.

--- a/benches/customers.rs
+++ b/benches/customers.rs
@@ -1,8 +1,8 @@
 //! How long it takes to find who asks, by the number of keys, and what a host holds for them.
 //!
 //! Figure: nanoseconds a search, from the key's bytes to its customer, and bytes a key as hosts send
-//! them to each other. A list that is searched from its begin took 0.4, 37 and 378 microseconds for 76,
-//! 10,000 and 100,000 keys (`scan`); the table by digests stays below one for any number.
+//! them to each other. For 76, 10,000 and 100,000 keys a list that is searched from its begin took 162,
+//! 10,290 and 236,577 ns a search; the table by digests 120, 167 and 485 (the rest is the digest itself).
 
 use std::hint::black_box;
 use std::rc::Rc;
--- a/src/losses/report.rs
+++ b/src/losses/report.rs
@@ -49,6 +49,12 @@
     pub mistaken: ExpectationError,
 }
 
+/// Told times that differ by less than this are alike, in milliseconds: the ways and the wait for a turn.
+const ALIKE_MS: u64 = 40;
+/// Of callers with times of their own, this share told less since they came back: about as many as come back on
+/// a day with trouble.
+const SHORT_SHARE: f64 = 0.05;
+
 /// By how much answers came later (above zero) or earlier than expected, in milliseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, serde::Serialize)]
 pub struct ExpectationError {
@@ -123,7 +129,7 @@
     fn on_answered(&mut self, mut answered: Vec<AnsweredLine>) {
         // In the order in which the servers got them, so that the first on an object is found.
         answered.sort_by_key(|line| line.unix_ms.saturating_sub(line.offer.took_ms));
-        let longest = longest_times(&answered);
+        let first = first_times(&answered);
         let mut met = collections::HashSet::new();
         let mut errors = collections::HashMap::<String, ErrorSamples>::new();
         for line in &answered {
@@ -131,7 +137,7 @@
                 .object
                 .as_ref()
                 .is_some_and(|object| met.insert((line.server.clone(), object.clone())));
-            let begun_ms = begun_ms(line, &longest);
+            let begun_ms = begun_ms(line, &first);
             self.count_answer(line, LateCause::of(line, begun_ms, first_run));
             let samples = errors.entry(line.route.clone()).or_default();
             samples.push(line, first_run);
@@ -176,21 +182,39 @@
     }
 }
 
-/// The most time that callers of each route had left: about what they begin with.
-fn longest_times(answered: &[AnsweredLine]) -> collections::HashMap<&str, u64> {
-    let mut longest = collections::HashMap::new();
+/// The time that callers of each route begin with. Where most tell the same, that is the most that any
+/// told. Where each caller has a time of its own, one that told less need not have begun before: then it is what all
+/// but [`SHORT_SHARE`] told at least.
+fn first_times<'a>(answered: &'a [AnsweredLine]) -> collections::HashMap<&'a str, u64> {
+    let mut told = collections::HashMap::<&'a str, Vec<u64>>::new();
     for line in answered {
-        let most = longest.entry(line.route.as_str()).or_insert(0);
-        *most = line.time_left_ms.unwrap_or(0).max(*most);
+        if let Some(left_ms) = line.time_left_ms {
+            told.entry(line.route.as_str()).or_default().push(left_ms);
+        }
+    }
+    let first = told.into_iter().map(|(route, mut times)| {
+        times.sort_unstable();
+        (route, first_time(&times))
+    });
+    first.collect()
+}
+
+fn first_time(sorted: &[u64]) -> u64 {
+    let most = sorted.last().copied().unwrap_or(0);
+    let alike = sorted.iter().filter(|time| **time + ALIKE_MS >= most);
+    if 2 * alike.count() >= sorted.len() {
+        return most;
     }
-    longest
+    // Less than the length.
+    let place = (sorted.len() as f64 * SHORT_SHARE) as usize;
+    sorted.get(place).copied().unwrap_or(most)
 }
 
 /// How long before its arrival the caller had begun, in milliseconds.
-fn begun_ms(line: &AnsweredLine, longest: &collections::HashMap<&str, u64>) -> u64 {
-    let longest_ms = longest.get(line.route.as_str()).copied().unwrap_or(0);
+fn begun_ms(line: &AnsweredLine, first: &collections::HashMap<&str, u64>) -> u64 {
+    let first_ms = first.get(line.route.as_str()).copied().unwrap_or(0);
     line.time_left_ms
-        .map_or(0, |left_ms| longest_ms.saturating_sub(left_ms))
+        .map_or(0, |left_ms| first_ms.saturating_sub(left_ms))
 }
 
 const fn window_of(unix_ms: u64) -> u64 {
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -121,6 +121,25 @@
     }
 }
 
+/// Callers that each wait for a time of their own have not come back for that.
+#[test]
+fn callers_with_times_of_their_own_did_not_come_back() {
+    let answers: Vec<Answer> = (0..100)
+        .map(|number| Answer {
+            unix_ms: 10_000 + number,
+            time_left_ms: 1_000 - 2 * number,
+            ..SOUND
+        })
+        .collect();
+    let report = report(&answers);
+    let late: u64 = report.windows.values().map(late_sum).sum();
+    assert!(late <= 5, "{late} of 100 are taken for late");
+}
+
+fn late_sum(counts: &LossCounts) -> u64 {
+    counts.late.values().sum()
+}
+
 #[test]
 fn expectations_are_judged_apart_for_first_runs() {
     let first = Answer {
