--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -357,15 +357,17 @@
         self.region_counts.get(region).copied().unwrap_or(0) + 1
     }
 
-    /// The same as far as others may go by it: a host that has just started and was told of no size does not
-    /// tell one (0), since it has met few hosts.
+    /// The size of `region` that others are told: the hosts that are known there, or, by a host that has just
+    /// started and met few, what it was told itself; 0 when it was told nothing. Once it knows all hosts it
+    /// tells what it knows: sizes that are passed on and on would never shrink.
     #[must_use]
     pub fn told_region_size(&self, region: &str) -> u32 {
-        let told = self.told_sizes.get(region).map_or(0, |told| told.hosts);
-        if self.listed || told > 0 {
-            told.max(self.region_size(region))
-        } else {
-            0
+        if self.listed {
+            return self.region_size(region);
+        }
+        match self.told_sizes.get(region) {
+            Some(told) if told.hosts > 0 => told.hosts.max(self.region_size(region)),
+            _ => 0,
         }
     }
 
