--- a/src/entry/limits/mod.rs
+++ b/src/entry/limits/mod.rs
@@ -10,11 +10,9 @@
 //! Nothing here reads a clock or a socket: moments and messages come in, verdicts and messages go out.
 
 pub mod bucket;
-pub mod fixed;
 pub mod grantor;
 pub mod member;
 pub mod message;
-pub mod parts;
 
 use self::bucket::BucketPace;
 use super::customer::RateLimit;
@@ -59,18 +57,6 @@
     pub slack: f64,
 }
 
-/// Whether a request may go on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LimitVerdict {
-    /// It may.
-    Admitted,
-    /// It would go beyond the customer's limit.
-    Refused {
-        /// When there is room for one more, in milliseconds.
-        room_in_ms: u64,
-    },
-}
-
 /// What all hosts together may let through.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitBound {
--- a/src/entry/limits/parts.rs
+++ b/src/limit_experiment/fixed_share.rs
@@ -1,8 +1,8 @@
-//! Fixed parts: each host lets through its own part of a limit and needs no word of any other.
+//! Fixed parts of a limit: each host lets through its own part of a limit and needs no word of any other.
 
-use super::LimitBound;
-use super::bucket::BucketPace;
 use crate::entry::hash;
+use crate::entry::limits::LimitBound;
+use crate::entry::limits::bucket::BucketPace;
 
 /// Where this host stands among all.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/limit_experiment/mod.rs
+++ b/src/limit_experiment/mod.rs
@@ -3,6 +3,8 @@
 //!
 //! [`scenario`] says what happens, [`world`] plays it, [`report`] sums up, [`plot`] draws.
 
+pub mod fixed_parts;
+pub mod fixed_share;
 pub mod plot;
 pub mod report;
 pub mod scenario;
--- a/src/limit_experiment/ways.rs
+++ b/src/limit_experiment/ways.rs
@@ -2,15 +2,13 @@
 
 use std::collections;
 
+use super::fixed_parts::{FixedParts, FixedVerdict};
+use super::fixed_share::HostShare;
 use crate::entry::hash;
-use crate::entry::limits::fixed::FixedParts;
 use crate::entry::limits::grantor::LimitGrantor;
 use crate::entry::limits::member::{GrantorList, LimitMember, RightStep};
 use crate::entry::limits::message::{LimitMessage, RightAnswer, RightRequest, RightVerdict};
-use crate::entry::limits::parts::HostShare;
-use crate::entry::limits::{
-    self, FAR_WAIT_MS, GROUPS, LimitBound, LimitVerdict, MOST_ASKED, NEAR_WAIT_MS,
-};
+use crate::entry::limits::{self, FAR_WAIT_MS, GROUPS, LimitBound, MOST_ASKED, NEAR_WAIT_MS};
 use crate::timer::Moment;
 
 /// What a host knows of the others.
@@ -156,8 +154,8 @@
         };
         let customer = format!("{:x}", request.customer);
         match self.parts.admit(&customer, &request.bound, &share, now) {
-            LimitVerdict::Admitted => SimDecision::Admit,
-            LimitVerdict::Refused { .. } => SimDecision::Refuse,
+            FixedVerdict::Admitted => SimDecision::Admit,
+            FixedVerdict::Refused { .. } => SimDecision::Refuse,
         }
     }
 
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -1,10 +1,10 @@
 //! Limits of customers over all hosts.
 
 use ledgespool::entry::customer::RateLimit;
-use ledgespool::entry::limits::fixed::FixedParts;
-use ledgespool::entry::limits::parts::{self, HostShare};
-use ledgespool::entry::limits::{LimitBound, LimitTolerance, LimitVerdict};
-use ledgespool::entry::{hash, limits};
+use ledgespool::entry::hash;
+use ledgespool::entry::limits::{LimitBound, LimitTolerance};
+use ledgespool::limit_experiment::fixed_parts::{FixedParts, FixedVerdict};
+use ledgespool::limit_experiment::fixed_share::{self, HostShare};
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
 
@@ -41,7 +41,7 @@
         for own in &hashes {
             let others: Vec<u64> = hashes.iter().copied().filter(|hash| hash != own).collect();
             let share = HostShare { hosts, own_hash: *own, other_hashes: &others };
-            let part = parts::own_part(&bound, &share, customer);
+            let part = fixed_share::own_part(&bound, &share, customer);
             most += part.per_s * TOLERANCE.window_s + part.most;
         }
         prop_assert!(most <= bound.allowed() * (1.0 + 1e-9), "{most} of {}", bound.allowed());
@@ -58,12 +58,34 @@
     };
     let mut parts = FixedParts::default();
     let mut admit = |now: u64| parts.admit("mill", &bound, &share, Moment(now));
-    let admitted = (0..1_000).filter(|_| admit(0) == LimitVerdict::Admitted);
+    let admitted = (0..1_000).filter(|_| admit(0) == FixedVerdict::Admitted);
     let admitted = admitted.count();
     assert!(admitted > 5, "{admitted}");
-    let limits::LimitVerdict::Refused { room_in_ms } = admit(0) else {
+    let FixedVerdict::Refused { room_in_ms } = admit(0) else {
         panic!("its part is used up");
     };
     assert!(room_in_ms <= 40, "25 a second are its own: {room_in_ms}");
-    assert_eq!(admit(room_in_ms + 1), LimitVerdict::Admitted);
+    assert_eq!(admit(room_in_ms + 1), FixedVerdict::Admitted);
+}
+
+proptest! {
+    /// What the pace of a limit lets in, and what may be held, with two starts of each host, fill no window beyond
+    /// the bound.
+    #[test]
+    fn the_pace_of_a_limit_fits_into_its_bound(
+        per_s in 0.01_f64..1_000.0,
+        burst in 0.0_f64..2_000.0,
+        excess in 0.0_f64..0.5,
+        slack in 0.0_f64..50.0,
+    ) {
+        let bound = LimitBound {
+            limit: RateLimit { per_s, burst },
+            tolerance: LimitTolerance { window_s: 5.0, excess, slack },
+        };
+        let pace = bound.pace();
+        // The life of a right beside the window, and a quarter of what may be held for each start.
+        let most = pace.per_s * 5.25 + pace.most * 1.5;
+        prop_assert!(most <= bound.allowed() * (1.0 + 1e-9), "{most} of {}", bound.allowed());
+        prop_assert!(pace.per_s > 0.0 && pace.most > 0.0);
+    }
 }
