--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -173,7 +173,8 @@
             );
         }
         for (customer, count) in &self.over_limit {
-            let labels = format!("customer=\"{customer}\"");
+            // Names of customers may hold quotation marks.
+            let labels = format!("customer={customer:?}");
             line(
                 &mut page,
                 &format!("ledgespool_over_limit_total{{{labels}}}"),
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -3,6 +3,7 @@
 use ledgespool::entry::customer::RateLimit;
 use ledgespool::entry::hash;
 use ledgespool::entry::limits::{LimitBound, LimitTolerance};
+use ledgespool::entry::metrics_page::{CurrentFigures, EntryMetrics};
 use ledgespool::limit_experiment::fixed_parts::{FixedParts, FixedVerdict};
 use ledgespool::limit_experiment::fixed_share::{self, HostShare};
 use ledgespool::timer::Moment;
@@ -27,6 +28,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
     /// What all hosts may let through in any window, with full buckets at its begin, is within the bound.
     #[test]
     fn fixed_parts_sum_up_to_no_more_than_the_bound(
@@ -48,6 +55,25 @@
     }
 }
 
+#[test]
+fn refusals_are_counted_by_customer_in_a_bounded_number_of_lines() {
+    let mut metrics = EntryMetrics::default();
+    metrics.on_over_limit("mill \"two\"");
+    for number in 0..1_000 {
+        metrics.on_over_limit(&format!("customer-{number}"));
+    }
+    let page = metrics.page(&CurrentFigures::default());
+    let lines: Vec<&str> = page
+        .lines()
+        .filter(|line| line.contains("over_limit"))
+        .collect();
+    assert!(lines.len() <= 101, "{}", lines.len());
+    let odd = r#"ledgespool_over_limit_total{customer="mill \"two\""} 1"#;
+    assert!(lines.contains(&odd), "{lines:?}");
+    let others = r#"ledgespool_over_limit_total{customer="(others)"} 901"#;
+    assert!(lines.contains(&others), "{lines:?}");
+}
+
 #[test]
 fn a_host_lets_its_part_through_and_gets_room_with_time() {
     let bound = bound(50.0, 50.0);
@@ -69,6 +95,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
     /// What the pace of a limit lets in, and what may be held, with two starts of each host, fill no window beyond
     /// the bound.
     #[test]
--- a/tests/entry_restart.rs
+++ b/tests/entry_restart.rs
@@ -179,6 +179,12 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
     /// In whatever order and under whatever counts entries come, the latest start is the one in force.
     #[test]
     fn the_latest_start_wins_in_any_order(starts in prop::collection::vec((1_u64..6, 6_u64..40), 1..8)) {
--- a/tests/limit_experiment.rs
+++ b/tests/limit_experiment.rs
@@ -49,8 +49,20 @@
         .prop_map(|(at_ms, for_ms, kind)| fault(at_ms, for_ms, kind))
 }
 
+/// Cases of the property test: `PROPTEST_CASES` for long runs by hand.
+fn cases() -> u32 {
+    const USUAL: u32 = 64;
+    let told = std::env::var("PROPTEST_CASES").ok();
+    told.and_then(|told| told.parse().ok()).unwrap_or(USUAL)
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: cases(),
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
 
     /// Whatever is cut, killed, late or lost, no window holds more than the bound allows.
     #[test]
