--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -5,7 +5,6 @@
 use super::lapse_hold;
 use crate::error;
 use crate::object_reader;
-use crate::result_code::ResultCode;
 use crate::source;
 
 /// What a host's link carries where the settings do not tell, in Mbit/s: the common slow one.
@@ -137,10 +136,7 @@
 /// # Errors
 /// `Rejected` with every fault.
 pub fn from_source(text: &source::SourceText) -> error::Result<EntrySettings> {
-    let mut problems = source::ProblemList::default();
-    let settings = object_reader::read_object(0, text, &mut problems, read_settings);
-    problems.into_result(std::slice::from_ref(text))?;
-    settings.ok_or_else(|| error::Error::with_code(ResultCode::SyntaxInvalid, text.name.clone()))
+    object_reader::read_whole(text, read_settings)
 }
 
 fn read_settings(reader: &mut object_reader::ObjectReader<'_, '_>) -> EntrySettings {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod health;
 pub mod http_client;
 pub mod limit_experiment;
+pub mod line_chart;
 pub mod listener;
 pub mod lookup;
 pub mod losses;
--- a/src/limit_experiment/scenario.rs
+++ b/src/limit_experiment/scenario.rs
@@ -4,7 +4,7 @@
 
 use crate::entry::customer::RateLimit;
 use crate::entry::limits::{LimitBound, LimitTolerance};
-use crate::error::{self, Error};
+use crate::error;
 use crate::object_reader::{self, ObjectReader};
 use crate::result_code::ResultCode;
 use crate::source;
@@ -119,10 +119,7 @@
 /// # Errors
 /// `Rejected` with every fault.
 pub fn from_source(text: &source::SourceText) -> error::Result<LimitScenario> {
-    let mut problems = source::ProblemList::default();
-    let scenario = object_reader::read_object(0, text, &mut problems, read_scenario);
-    problems.into_result(std::slice::from_ref(text))?;
-    scenario.ok_or_else(|| Error::with_code(ResultCode::SyntaxInvalid, text.name.clone()))
+    object_reader::read_whole(text, read_scenario)
 }
 
 fn read_scenario(reader: &mut ObjectReader<'_, '_>) -> LimitScenario {
--- a/src/object_reader.rs
+++ b/src/object_reader.rs
@@ -5,6 +5,7 @@
 use jsonc_parser::ast;
 use jsonc_parser::common::Ranged as _;
 
+use crate::error::{self, Error};
 use crate::result_code::ResultCode;
 use crate::source::{self, ProblemList, SourceSpan, SourceText};
 
@@ -66,6 +67,20 @@
     Some(result)
 }
 
+/// Reads a source that holds one object, and nothing of it if anything is wrong.
+///
+/// # Errors
+/// `Rejected` with every fault.
+pub fn read_whole<'t, T>(
+    source: &'t SourceText,
+    read: impl FnOnce(&mut ObjectReader<'_, 't>) -> T,
+) -> error::Result<T> {
+    let mut problems = ProblemList::default();
+    let whole = read_object(0, source, &mut problems, read);
+    problems.into_result(std::slice::from_ref(source))?;
+    whole.ok_or_else(|| Error::with_code(ResultCode::SyntaxInvalid, source.name.clone()))
+}
+
 fn nesting_depth(text: &str) -> usize {
     let mut depth = 0_usize;
     let mut deepest = 0;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -59,10 +59,7 @@
 /// # Errors
 /// `Rejected` with every fault.
 pub fn from_source(text: &source::SourceText) -> error::Result<HostSettings> {
-    let mut problems = source::ProblemList::default();
-    let settings = object_reader::read_object(0, text, &mut problems, read_settings);
-    problems.into_result(std::slice::from_ref(text))?;
-    settings.ok_or_else(|| error::Error::with_code(ResultCode::SyntaxInvalid, text.name.clone()))
+    object_reader::read_whole(text, read_settings)
 }
 
 fn read_settings(reader: &mut object_reader::ObjectReader<'_, '_>) -> HostSettings {
--- a/tests/entry_restart.rs
+++ b/tests/entry_restart.rs
@@ -1,5 +1,8 @@
 //! Servers that start again under the identity that they had.
 
+#[path = "common/seeded.rs"]
+mod seeded;
+
 use std::rc::Rc;
 
 use ledgespool::entry::fleet::Fleet;
@@ -179,11 +182,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        failure_persistence: None,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(seeded::config())]
 
     /// In whatever order and under whatever counts entries come, the latest start is the one in force.
     #[test]
