A customer's limit below zero is logged, in place of a silent none

Cause: the adapter took every rate that was not above zero for 'no limit', and raised a burst below zero to zero, without a word: a decision where none belongs, and bad input that nobody hears of.

--- a/src/entry/customer.rs
+++ b/src/entry/customer.rs
@@ -67,6 +67,21 @@
     pub burst: f64,
 }
 
+impl RateLimit {
+    /// Whether a number of requests can be told from it.
+    ///
+    /// ```
+    /// use ledgespool::entry::customer::RateLimit;
+    /// assert!(RateLimit { per_s: 0.5, burst: 0.0 }.is_sound());
+    /// assert!(!RateLimit { per_s: -1.0, burst: 0.0 }.is_sound());
+    /// ```
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        let is_rate = self.per_s.is_finite() && self.per_s > 0.0;
+        is_rate && self.burst.is_finite() && self.burst >= 0.0
+    }
+}
+
 /// A customer as the operator configured it.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct CustomerRule {
@@ -98,6 +113,9 @@
         /// Who holds it as well.
         second: String,
     },
+    /// Its limit is no number of requests; it goes without one.
+    #[error("the limit of customer {0:?} is below zero or no number")]
+    LimitUnfit(String),
     /// Its name cannot be told to servers; its requests are refused.
     #[error("the name of customer {0:?} cannot stand in a header")]
     NameUnfit(String),
@@ -142,6 +160,11 @@
             }
             let name = hash::of_name(&rule.name);
             table.by_name.insert(name, rc::Rc::clone(rule));
+            if rule.limit.is_some_and(|limit| !limit.is_sound()) {
+                table
+                    .faults
+                    .push(CustomerFault::LimitUnfit(rule.name.clone()));
+            }
             if rule.keys.is_empty() {
                 table
                     .faults
--- a/src/entry/limit_role/mod.rs
+++ b/src/entry/limit_role/mod.rs
@@ -12,7 +12,7 @@
 use rand::Rng as _;
 use tokio::sync::{Notify, oneshot};
 
-use crate::entry::customer::{CustomerRule, CustomerTable};
+use crate::entry::customer::{CustomerRule, CustomerTable, RateLimit};
 use crate::entry::host::EntryHost;
 use crate::entry::limits::grantor::LimitGrantor;
 use crate::entry::limits::member::{GrantorList, LimitMember, RightStep};
@@ -209,7 +209,7 @@
 
     fn limit_bound(&self, customer: &CustomerRule) -> Option<LimitBound> {
         let bounds = self.settings().bounds;
-        let limit = customer.limit?;
+        let limit = customer.limit.filter(RateLimit::is_sound)?;
         Some(LimitBound {
             limit,
             tolerance: LimitTolerance {
