--- a/src/block_map.rs
+++ b/src/block_map.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3;
 
 use crate::declaration;
+use crate::entry::hash;
 use crate::topology;
 
 const NO_HALL: u16 = u16::MAX;
@@ -202,14 +203,7 @@
 /// `-weight / ln(u)` for a uniform `u` in (0, 1) drawn from both hashes.
 fn rendezvous_score(block: u64, seed: u64, weight: f64) -> f64 {
     const UNIT: f64 = 1.0 / (1_u64 << 53) as f64;
-    let mixed = mix(block ^ seed);
+    let mixed = hash::mix(block ^ seed);
     let uniform = ((mixed >> 11) as f64 + 0.5) * UNIT;
     -weight / uniform.ln()
 }
-
-/// The finalizer of splitmix64 (Steele, Lea and Flood, 2014).
-const fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
