Lines of lost offers tell which requests are the same, and how the server stood

Sight for the incident: 63 connections broke under requests within 9 s on 21 servers, and the log could not tell whether one request did it (callers repeat with new identities), a load that moved on, or our own second offers. A line of a failed offer now carries a fingerprint of sender, method, site, path and body, whether the server was cold, and this host's requests there; the metrics count failed offers by their result. No decision has changed.

--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -80,6 +80,8 @@
     latency: collections::BTreeMap<String, Histogram>,
     store_calls: collections::BTreeMap<(&'static str, &'static str, &'static str), u64>,
     over_limit: collections::BTreeMap<String, u64>,
+    /// By what came of them: a few fixed words, and statuses of refusals.
+    offers_failed: collections::BTreeMap<String, u64>,
     /// Requests that the limits of their customers let through.
     pub within_limit: u64,
     /// Requests offered to a second server.
@@ -143,6 +145,15 @@
         *self.over_limit.entry(name.to_owned()).or_default() += 1;
     }
 
+    /// An offer to a server brought no answer, for the reason `result`.
+    pub fn on_offer_failed(&mut self, result: &str) {
+        if let Some(count) = self.offers_failed.get_mut(result) {
+            *count += 1;
+        } else {
+            self.offers_failed.insert(result.to_owned(), 1);
+        }
+    }
+
     /// A call to the store ended.
     pub fn on_store_call(&mut self, kind: ObjectKind, call: &'static str, result: &'static str) {
         let key = (kind.as_str(), call, result);
@@ -172,6 +183,14 @@
                 *count,
             );
         }
+        for (result, count) in &self.offers_failed {
+            let labels = format!("result=\"{result}\"");
+            line(
+                &mut page,
+                &format!("ledgespool_offers_failed_total{{{labels}}}"),
+                *count,
+            );
+        }
         for (customer, count) in &self.over_limit {
             // Names of customers may hold quotation marks.
             let labels = format!("customer={customer:?}");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod ended_servers;
 pub mod evacuation;
 pub mod exchange;
+pub mod fingerprint;
 pub mod fleet;
 pub mod fleet_change;
 pub mod fleet_server;
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -311,16 +311,21 @@
     fn note_offer(&self, server: &FleetServer, result: &str) {
         let host = self.host;
         let open = self.open;
+        host.metrics.borrow_mut().on_offer_failed(result);
+        let now = host.now();
         let fields = json!({
             "id": open.forward.id,
             "route": open.route.name,
+            "fingerprint": open.fingerprint().to_string(),
             "server": server.id,
             "hall": server.hall,
             "result": result,
-            "after_ms": host.now().since(open.arrived),
+            "after_ms": now.since(open.arrived),
+            "cold": server.is_cold(now),
+            "own_in_flight": server.in_flight(),
             "version": host.configuration_version(),
             "fleet_revision": host.fleet.borrow().revision(),
-            "expected_load": server.expected_load(host.now()),
+            "expected_load": server.expected_load(now),
         });
         host.note(EventCode::OfferFailed, fields);
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,6 +1,6 @@
 //! One caller's request from its head to its answer.
 
-use std::{rc, time};
+use std::{net, rc, time};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -11,6 +11,7 @@
 use super::customer::CustomerRule;
 use super::decision_log::LineWeight;
 use super::exchange;
+use super::fingerprint::RequestFingerprint;
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::metrics_page::RequestEnd;
@@ -27,20 +28,24 @@
 /// A response to a caller.
 pub type CallerResponse<W> = http::Response<AnswerBody<StreamedAnswer<W>>>;
 
-/// Serves one request.
+/// Serves one request of the caller at `address`.
 pub async fn serve<W: WireProtocol>(
     host: rc::Rc<EntryHost<W>>,
     request: http::Request<Incoming>,
+    address: net::IpAddr,
 ) -> CallerResponse<W> {
     let mut guard = RequestGuard::begin(&host, request.headers());
     host.wait_for_knowledge().await;
-    let response = match OpenRequest::read(&host, request, guard.arrived).await {
+    let response = match OpenRequest::read(&host, request, address, guard.arrived).await {
         Ok(open) => {
             guard.route = Some(rc::Rc::clone(&open.route));
             guard.customer.clone_from(&open.customer);
             match offers::run(&host, &open).await {
                 Ok(answered) => pass_on(&host, &open, answered),
-                Err(failure) => guard.fail(failure),
+                Err(failure) => {
+                    guard.fingerprint = Some(open.fingerprint());
+                    guard.fail(failure)
+                }
             }
         }
         Err(failure) => guard.fail(failure),
@@ -58,6 +63,8 @@
     route: Option<rc::Rc<RouteRule>>,
     /// Who asks, once it is known.
     customer: Option<rc::Rc<CustomerRule>>,
+    /// Once it is read and has failed.
+    fingerprint: Option<RequestFingerprint>,
     arrived: Moment,
     ended: bool,
 }
@@ -71,6 +78,7 @@
             host: rc::Rc::clone(host),
             route: None,
             customer: None,
+            fingerprint: None,
             arrived: host.now(),
             ended: false,
         }
@@ -92,6 +100,7 @@
         let fields = json!({
             "id": self.id,
             "route": route,
+            "fingerprint": self.fingerprint.map(|fingerprint| fingerprint.to_string()),
             "end": failure.end.as_str(),
             "status": failure.status.as_u16(),
             "code": failure.code().to_string(),
