A request is known by customer and content, not by the address that it comes from; barred ones are tried now and then

Cause of the second break: the same caller comes from many addresses, and each made another fingerprint. Without the address a request of another caller with the same path and body counts as the same; a success of any clears it. So that one barred beside the loss of a hall does not stay so, one host sends it to one server after a minute, then after ten times as long.

--- a/src/entry/fingerprint.rs
+++ b/src/entry/fingerprint.rs
@@ -1,21 +1,17 @@
 //! What makes two requests the same although each has an identity of its own: who asks, and for what.
+//!
+//! Who asks is the customer, where requests carry keys. The address of a connection is no part of it: the same
+//! caller comes from many, and one that ended 43 servers from changing addresses was not recognized by it.
 
-use std::{fmt, net};
+use std::fmt;
 
 use xxhash_rust::xxh3::Xxh3;
 
-/// Who sends a request, as far as repeats of it are told apart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RequestSender<'a> {
-    /// The customer that holds the key; its name, never the key.
-    Customer(&'a str),
-    /// The address that the connection comes from, where requests need no key.
-    Address(net::IpAddr),
-}
-
-/// What is asked for.
+/// What a request has in common with its repeats.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestContent<'a> {
+    /// The name of the customer that holds its key, never the key; empty where none is needed.
+    pub customer: &'a str,
     /// The method.
     pub method: &'a str,
     /// The name of the site, as the caller wrote it.
@@ -29,11 +25,17 @@
 /// A hash of all that a repeat has in common with the request that it repeats: the same on all hosts.
 ///
 /// ```
-/// use ledgespool::entry::fingerprint::{RequestContent, RequestFingerprint, RequestSender};
-/// let content = RequestContent { method: "GET", site: b"desk.example", path: "/read/1", body: b"" };
-/// let mill = RequestFingerprint::of(RequestSender::Customer("mill"), &content);
-/// assert_eq!(mill, RequestFingerprint::of(RequestSender::Customer("mill"), &content));
-/// assert_ne!(mill, RequestFingerprint::of(RequestSender::Customer("bank"), &content));
+/// use ledgespool::entry::fingerprint::{RequestContent, RequestFingerprint};
+/// let content = RequestContent {
+///     customer: "mill",
+///     method: "GET",
+///     site: b"desk.example",
+///     path: "/read/1",
+///     body: b"",
+/// };
+/// let other = RequestContent { customer: "bank", ..content };
+/// assert_eq!(RequestFingerprint::of(&content), RequestFingerprint::of(&content));
+/// assert_ne!(RequestFingerprint::of(&content), RequestFingerprint::of(&other));
 /// ```
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
@@ -43,17 +45,9 @@
 impl RequestFingerprint {
     /// The fingerprint of a request.
     #[must_use]
-    pub fn of(sender: RequestSender<'_>, content: &RequestContent<'_>) -> Self {
+    pub fn of(content: &RequestContent<'_>) -> Self {
         let mut hasher = Xxh3::new();
-        match sender {
-            RequestSender::Customer(name) => write_part(&mut hasher, name.as_bytes()),
-            RequestSender::Address(net::IpAddr::V4(address)) => {
-                write_part(&mut hasher, &address.octets());
-            }
-            RequestSender::Address(net::IpAddr::V6(address)) => {
-                write_part(&mut hasher, &address.octets());
-            }
-        }
+        write_part(&mut hasher, content.customer.as_bytes());
         write_part(&mut hasher, content.method.as_bytes());
         write_part(&mut hasher, &content.site.to_ascii_lowercase());
         write_part(&mut hasher, content.path.as_bytes());
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -115,12 +115,8 @@
 }
 
 async fn serve_caller<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
-    let Ok(caller) = stream.peer_addr() else {
-        // The connection is gone already.
-        return;
-    };
     let service = service_fn(|request: http::Request<Incoming>| {
-        let answer = request::serve(rc::Rc::clone(&host), request, caller.ip());
+        let answer = request::serve(rc::Rc::clone(&host), request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
     // A broken connection concerns its caller alone, who sees it.
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -12,7 +12,7 @@
 use super::host::EntryHost;
 use super::offer_record::OfferRecord;
 use super::open_request::OpenRequest;
-use super::quarantine_role;
+use super::quarantine_role::{self, SuspectAdmission};
 use super::request_failure::RequestFailure;
 use super::route_times::AnswerSample;
 use super::wire::WireProtocol;
@@ -45,21 +45,25 @@
     host: &rc::Rc<EntryHost<W>>,
     open: &OpenRequest,
 ) -> Result<AnsweredRequest, RequestFailure> {
-    host.refuse_barred(open)?;
-    let Some(customer) = &open.customer else {
-        return offer_in_turn(host, open).await;
-    };
-    host.admit(customer).await?;
-    offer_in_turn(host, open).await
+    let admission = host.admit_suspect(open);
+    if admission == SuspectAdmission::Barred {
+        return Err(RequestFailure::QUARANTINED);
+    }
+    if let Some(customer) = &open.customer {
+        host.admit(customer).await?;
+    }
+    offer_in_turn(host, open, admission).await
 }
 
 async fn offer_in_turn<W: WireProtocol>(
     host: &rc::Rc<EntryHost<W>>,
     open: &OpenRequest,
+    admission: SuspectAdmission,
 ) -> Result<AnsweredRequest, RequestFailure> {
     let mut series = OfferSeries {
         host,
         open,
+        admission,
         tried: Vec::new(),
         sent: 0,
         offers: 0,
@@ -85,6 +89,7 @@
 struct OfferSeries<'a, W> {
     host: &'a rc::Rc<EntryHost<W>>,
     open: &'a OpenRequest,
+    admission: SuspectAdmission,
     /// The servers that it must not be offered to any more.
     tried: Vec<String>,
     /// How often it was sent; an offer that found no connection is not counted.
@@ -106,8 +111,10 @@
             return Ok(None);
         }
         // It may have been barred while it waited, or by its own last offer.
-        let barred = self.host.refuse_barred(self.open);
-        barred.map_err(|failure| self.last.unwrap_or(failure))?;
+        let is_first_of_trial = self.admission == SuspectAdmission::Trial && self.offers == 0;
+        if !is_first_of_trial && self.host.is_barred(self.open) {
+            return Err(self.last.unwrap_or(RequestFailure::QUARANTINED));
+        }
         let chosen = self.choose();
         // What a server has shown says more than that no other is left.
         let chosen = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -1,6 +1,6 @@
 //! A caller's request as it is read: its route, its body, and how long it may take.
 
-use std::{net, rc, time};
+use std::{rc, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -10,7 +10,7 @@
 use super::configuration::{RouteRule, RouteTable};
 use super::customer::{self, CustomerRule};
 use super::exchange::ForwardRequest;
-use super::fingerprint::{RequestContent, RequestFingerprint, RequestSender};
+use super::fingerprint::{RequestContent, RequestFingerprint};
 use super::host::EntryHost;
 use super::request_failure::RequestFailure;
 use super::wire::{CallerHead, CallerKey, WireProtocol};
@@ -25,8 +25,6 @@
 pub(super) struct OpenRequest {
     /// What servers are offered.
     pub(super) forward: ForwardRequest,
-    /// Where its connection comes from.
-    pub(super) address: net::IpAddr,
     /// Who asks, where requests need a key.
     pub(super) customer: Option<rc::Rc<CustomerRule>>,
     /// The only regions that may serve it; empty for all.
@@ -50,7 +48,6 @@
     pub(super) async fn read<W: WireProtocol>(
         host: &EntryHost<W>,
         request: http::Request<Incoming>,
-        address: net::IpAddr,
         arrived: Moment,
     ) -> Result<Self, RequestFailure> {
         let routes = host.routes().ok_or(RequestFailure::UNCONFIGURED)?;
@@ -73,7 +70,6 @@
         let name = customer.as_ref().map(|customer| customer.name.as_str());
         host.wire.write_customer(&mut headers, name);
         Ok(Self {
-            address,
             customer,
             homes,
             object: object_of(&caller, &route),
@@ -96,12 +92,10 @@
     /// What its repeats have in common with it, at whatever host they arrive.
     pub(super) fn fingerprint(&self) -> RequestFingerprint {
         let forward = &self.forward;
-        let sender = match &self.customer {
-            Some(customer) => RequestSender::Customer(&customer.name),
-            None => RequestSender::Address(self.address),
-        };
+        let customer = self.customer.as_ref();
         let site = forward.headers.get(http::header::HOST);
         let content = RequestContent {
+            customer: customer.map_or("", |customer| &customer.name),
             method: forward.method.as_str(),
             site: site.map_or(&[][..], |site| site.as_bytes()),
             path: forward
@@ -110,7 +104,7 @@
                 .map_or("", |path| path.as_str()),
             body: &forward.body,
         };
-        RequestFingerprint::of(sender, &content)
+        RequestFingerprint::of(&content)
     }
 }
 
--- a/src/entry/peers/suspect_keepers.rs
+++ b/src/entry/peers/suspect_keepers.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use super::PeerTable;
+use super::{HostRecord, PeerTable};
 use crate::entry::fingerprint::RequestFingerprint;
 use crate::entry::hash;
 use crate::timer::Moment;
@@ -18,19 +18,37 @@
         count: usize,
         now: Moment,
     ) -> Vec<net::SocketAddr> {
-        let peers = self.peers.values().filter(|peer| {
-            let silent_ms = self.silent_ms(&peer.record.region);
-            peer.may_live(now, silent_ms) && !peer.leaving
-        });
-        let mut ranked: Vec<(u64, net::SocketAddr)> = peers
-            .map(|peer| {
-                let name = hash::of_name(&peer.record.name);
-                let rank = hash::mix(name ^ hash::mix(fingerprint.0));
-                (rank, peer.record.heartbeat_address)
-            })
+        let live = self.live_records(now);
+        let mut ranked: Vec<(u64, net::SocketAddr)> = live
+            .map(|record| (rank(record, fingerprint), record.heartbeat_address))
             .collect();
         ranked.sort_unstable();
         ranked.truncate(count);
         ranked.into_iter().map(|(_, address)| address).collect()
     }
+
+    /// Whether `own` is the first of them all.
+    #[must_use]
+    pub fn is_first_keeper(
+        &self,
+        own: &HostRecord,
+        fingerprint: RequestFingerprint,
+        now: Moment,
+    ) -> bool {
+        let own_rank = rank(own, fingerprint);
+        let mut live = self.live_records(now);
+        live.all(|record| rank(record, fingerprint) >= own_rank)
+    }
+
+    fn live_records(&self, now: Moment) -> impl Iterator<Item = &HostRecord> {
+        let live = self.peers.values().filter(move |peer| {
+            let silent_ms = self.silent_ms(&peer.record.region);
+            peer.may_live(now, silent_ms) && !peer.leaving
+        });
+        live.map(|peer| &peer.record)
+    }
+}
+
+fn rank(record: &HostRecord, fingerprint: RequestFingerprint) -> u64 {
+    hash::mix(hash::of_name(&record.name) ^ hash::mix(fingerprint.0))
 }
--- a/src/entry/quarantine/message.rs
+++ b/src/entry/quarantine/message.rs
@@ -30,6 +30,8 @@
     pub ended: Vec<u64>,
     /// Whether a server has answered it with success.
     pub cleared: bool,
+    /// How often it was tried since it was barred.
+    pub trials: u32,
     /// How long ago something was last heard of it, in seconds.
     pub age_s: u32,
 }
--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -12,6 +12,9 @@
 //! second server on all hosts know a suspect, and from the third on ([`SERVERS_TO_BAR`]) none sends it. A
 //! success clears it everywhere: what one server can run did not end the others.
 //!
+//! A request that was barred though it did nothing, because a hall lost power under it, must not stay so: after
+//! [`FIRST_TRIAL_MS`], and then ever more seldom, one host sends it to one server, and a success clears it.
+//!
 //! Records merge in any order and however often they come ([`table::QuarantineTable`]), and heartbeats carry a
 //! digest of them, so a host that was cut off, suspended or started later finds out what it lacks. What is
 //! barred is written to the store as well: it outlives the loss of all hosts.
@@ -30,6 +33,11 @@
 /// A suspect is forgotten when nothing was heard of it for this long, in milliseconds: callers that repeat a
 /// request for longer come back more seldom than a server takes to start.
 pub const SUSPECT_LIFE_MS: u64 = 3_600_000;
+/// A barred request is tried on one server after this time, in milliseconds: what ends a whole hall is over by
+/// then, and one that ends servers must not end more than a few beyond [`SERVERS_TO_BAR`].
+pub const FIRST_TRIAL_MS: u64 = 60_000;
+/// Each further trial comes this many times later than the one before: three within two hours.
+pub const TRIAL_FACTOR: u64 = 10;
 /// For this long a success stands against late word of ends before it, in milliseconds: the word of a host that
 /// was suspended for some seconds is among it.
 pub const CLEARED_LIFE_MS: u64 = 30_000;
--- a/src/entry/quarantine/stored.rs
+++ b/src/entry/quarantine/stored.rs
@@ -17,6 +17,7 @@
 ///     fingerprint: RequestFingerprint(u64::MAX),
 ///     ended: vec![1, 2, u64::MAX],
 ///     cleared: false,
+///     trials: 0,
 ///     age_s: 0,
 /// };
 /// let stored = StoredSuspect::from_record(&record, 1_700_000_000_000);
@@ -58,6 +59,7 @@
             fingerprint: RequestFingerprint(number_from_text(&self.fingerprint)?),
             ended: ended.collect::<Option<_>>()?,
             cleared: false,
+            trials: 0,
             age_s: 0,
         })
     }
--- a/src/entry/quarantine/table.rs
+++ b/src/entry/quarantine/table.rs
@@ -1,7 +1,10 @@
 //! The suspects that a host knows.
 
 use super::message::{QuarantineDigest, SuspectRecord};
-use super::{CLEARED_LIFE_MS, MAX_SUSPECTS, SERVERS_TO_BAR, SERVERS_TO_TELL, SUSPECT_LIFE_MS};
+use super::{
+    CLEARED_LIFE_MS, FIRST_TRIAL_MS, MAX_SUSPECTS, SERVERS_TO_BAR, SERVERS_TO_TELL,
+    SUSPECT_LIFE_MS, TRIAL_FACTOR,
+};
 use crate::entry::fingerprint::RequestFingerprint;
 use crate::entry::hash;
 use crate::timer::Moment;
@@ -38,6 +41,10 @@
     cleared: bool,
     /// When something was last heard of it.
     heard: Moment,
+    /// How often it was tried since it was barred.
+    trials: u32,
+    /// When it was barred here, or the last trial heard of.
+    waits_since: Moment,
 }
 
 impl SuspectEntry {
@@ -75,6 +82,12 @@
         self.ended.len() > before
     }
 
+    /// Whether it is time to try it on a server.
+    fn is_trial_due(&self, now: Moment) -> bool {
+        let wait_ms = FIRST_TRIAL_MS.saturating_mul(TRIAL_FACTOR.saturating_pow(self.trials));
+        self.state() == SuspectState::Barred && now.since(self.waits_since) >= wait_ms
+    }
+
     /// A server has answered it; which ones ended before does not matter any more.
     fn clear(&mut self, now: Moment) {
         self.cleared = true;
@@ -88,6 +101,7 @@
             fingerprint,
             ended: self.ended.clone(),
             cleared: self.cleared,
+            trials: self.trials,
             age_s: u32::try_from(age_s).unwrap_or(u32::MAX),
         }
     }
@@ -100,7 +114,11 @@
             SuspectState::Counted | SuspectState::Known => self.ended.as_slice(),
             SuspectState::Barred | SuspectState::Cleared => &[],
         };
-        let seed = hash::mix(hash::mix(fingerprint.0) ^ state as u64);
+        let trials = match state {
+            SuspectState::Barred => u64::from(self.trials) << 8,
+            SuspectState::Counted | SuspectState::Known | SuspectState::Cleared => 0,
+        };
+        let seed = hash::mix(hash::mix(fingerprint.0) ^ trials ^ state as u64);
         let servers = servers.iter();
         servers.fold(seed, |hash, server| hash::mix(hash ^ server))
     }
@@ -168,6 +186,7 @@
             fingerprint,
             ended: vec![server],
             cleared: false,
+            trials: 0,
             age_s: 0,
         };
         if !self.merge(&record, now) {
@@ -198,6 +217,22 @@
         }
     }
 
+    /// Takes the trial of a barred request, if one is due: it may be sent to one server, and others must know.
+    pub fn try_barred(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        now: Moment,
+    ) -> Option<SuspectRecord> {
+        let entry = self.entries.get_mut(&fingerprint)?;
+        if !entry.is_trial_due(now) {
+            return None;
+        }
+        entry.trials += 1;
+        entry.waits_since = now;
+        entry.heard = now;
+        Some(entry.record(fingerprint, now))
+    }
+
     /// A barred request came again: it is remembered for longer.
     pub fn on_refused(&mut self, fingerprint: RequestFingerprint, now: Moment) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
@@ -251,8 +286,14 @@
                 ended: Vec::new(),
                 cleared: false,
                 heard,
+                trials: 0,
+                waits_since: now,
             });
         let adds_servers = entry.add(&record.ended);
+        if adds_servers || record.trials > entry.trials {
+            entry.waits_since = now;
+        }
+        entry.trials = entry.trials.max(record.trials);
         entry.heard = entry.heard.max(heard);
         if record.cleared {
             entry.clear(heard);
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -21,7 +21,6 @@
 use super::quarantine::message::{QuarantineDigest, QuarantineMessage, ServerEnd, SuspectRecord};
 use super::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
 use super::quarantine::{KEEPERS, MAX_SUSPECTS};
-use super::request_failure::RequestFailure;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::timer::Moment;
@@ -29,6 +28,17 @@
 use self::store::StoreTask;
 pub(super) use self::store::spawn;
 
+/// Whether a request may be sent to servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SuspectAdmission {
+    /// As any other.
+    Free,
+    /// To one server, which shows whether it ends that too.
+    Trial,
+    /// To none.
+    Barred,
+}
+
 /// Requests that one datagram or log line names.
 const REQUESTS_PER_DATAGRAM: usize = 64;
 
@@ -143,18 +153,43 @@
 }
 
 impl<W: WireProtocol> EntryHost<W> {
-    /// Refuses a request that is kept from servers.
-    pub(super) fn refuse_barred(&self, open: &OpenRequest) -> Result<(), RequestFailure> {
+    /// Whether a request may be sent to servers now.
+    pub(super) fn admit_suspect(&self, open: &OpenRequest) -> SuspectAdmission {
         let mut table = self.quarantine.table.borrow_mut();
         if !table.has_told() {
-            return Ok(());
+            return SuspectAdmission::Free;
         }
         let fingerprint = open.fingerprint();
         if !table.is_barred(fingerprint) {
-            return Ok(());
+            return SuspectAdmission::Free;
+        }
+        let now = self.now();
+        table.on_refused(fingerprint, now);
+        if !self.tries_barred(fingerprint, now) {
+            return SuspectAdmission::Barred;
         }
-        table.on_refused(fingerprint, self.now());
-        Err(RequestFailure::QUARANTINED)
+        let Some(record) = table.try_barred(fingerprint, now) else {
+            return SuspectAdmission::Barred;
+        };
+        drop(table);
+        self.note_suspect(EventCode::RequestTried, &record, "timer");
+        self.tell_all(vec![record]);
+        SuspectAdmission::Trial
+    }
+
+    /// Whether the trials of a barred request are this host's: one host takes them all, the first that counts
+    /// its ends, and only one that knows all others.
+    fn tries_barred(&self, fingerprint: RequestFingerprint, now: Moment) -> bool {
+        let peers = self.peers.borrow();
+        peers.is_listed()
+            && !self.is_leaving()
+            && peers.is_first_keeper(&self.record(), fingerprint, now)
+    }
+
+    /// Whether a request is kept from servers.
+    pub(super) fn is_barred(&self, open: &OpenRequest) -> bool {
+        let table = self.quarantine.table.borrow();
+        table.has_told() && table.is_barred(open.fingerprint())
     }
 
     /// A server answered a request: with a whole success, other servers did not end under it.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -1,6 +1,6 @@
 //! One caller's request from its head to its answer.
 
-use std::{net, rc, time};
+use std::{rc, time};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -29,15 +29,14 @@
 /// A response to a caller.
 pub type CallerResponse<W> = http::Response<AnswerBody<StreamedAnswer<W>>>;
 
-/// Serves one request of the caller at `address`.
+/// Serves one request.
 pub async fn serve<W: WireProtocol>(
     host: rc::Rc<EntryHost<W>>,
     request: http::Request<Incoming>,
-    address: net::IpAddr,
 ) -> CallerResponse<W> {
     let mut guard = RequestGuard::begin(&host, request.headers());
     host.wait_for_knowledge().await;
-    let response = match OpenRequest::read(&host, request, address, guard.arrived).await {
+    let response = match OpenRequest::read(&host, request, guard.arrived).await {
         Ok(open) => {
             guard.route = Some(rc::Rc::clone(&open.route));
             guard.customer.clone_from(&open.customer);
--- a/src/event.rs
+++ b/src/event.rs
@@ -92,6 +92,7 @@
     ServerEnded = 5016, Warn, "A backend server ended with requests in hand; one of them may have ended it.";
     RequestBarred = 5017, Warn, "Backend servers ended under a request; no host sends it any more.";
     RequestCleared = 5018, Info, "A request under which backend servers seemed to end was answered; it is sent again.";
+    RequestTried = 5019, Info, "A request under which backend servers ended is tried on one server.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -6,7 +6,9 @@
 use ledgespool::entry::fingerprint::RequestFingerprint;
 use ledgespool::entry::quarantine::message::SuspectRecord;
 use ledgespool::entry::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
-use ledgespool::entry::quarantine::{CLEARED_LIFE_MS, MAX_SUSPECTS, SUSPECT_LIFE_MS};
+use ledgespool::entry::quarantine::{
+    CLEARED_LIFE_MS, FIRST_TRIAL_MS, MAX_SUSPECTS, SUSPECT_LIFE_MS, TRIAL_FACTOR,
+};
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
 
@@ -83,6 +85,27 @@
     assert_eq!(table.records(START).len(), 1);
 }
 
+/// One that was barred when a hall was lost under it is cleared by its first trial; one that ends servers reaches
+/// ever fewer.
+#[test]
+fn a_barred_request_is_tried_on_one_server_and_then_ever_more_seldom() {
+    let mut table = after_ends(&[1, 2, 3]);
+    let first = START.plus(FIRST_TRIAL_MS);
+    assert_eq!(table.try_barred(DEADLY, first.before(1)), None);
+    let trial = table.try_barred(DEADLY, first).expect("a trial is due");
+    assert_eq!(trial.trials, 1);
+    assert!(table.is_barred(DEADLY), "others are kept back meanwhile");
+    let mut other = after_ends(&[1, 2, 3]);
+    other.on_told(&trial, first);
+    assert_eq!(other.digest(), table.digest());
+    let second = first.plus(FIRST_TRIAL_MS * TRIAL_FACTOR);
+    for host in [&mut table, &mut other] {
+        assert_eq!(host.try_barred(DEADLY, second.before(1)), None);
+        assert!(host.try_barred(DEADLY, second).is_some());
+    }
+    assert_eq!(table.try_barred(OTHER, second), None, "it is no suspect");
+}
+
 /// A host that wakes with what it knew before must not bring it to life again among the others.
 #[test]
 fn a_record_that_is_old_is_not_taken_over() {
@@ -90,6 +113,7 @@
         fingerprint: DEADLY,
         ended: vec![1, 2, 3],
         cleared: false,
+        trials: 0,
         age_s: (SUSPECT_LIFE_MS / 1_000) as u32,
     };
     let mut table = QuarantineTable::default();
@@ -112,6 +136,7 @@
             ended.into_iter().collect()
         },
         cleared,
+        trials: 0,
         age_s: 0,
     });
     prop::collection::vec(record, 0..12)
