Hosts keep time by the clock since boot, which counts suspended time, and say when they stood still

Leases of parts of a limit, lapses, retry and cold windows and kept connections are promises to others, who go on counting while a machine is suspended. By the steady clock a grantor that slept for three seconds would go on granting from parts that their owners took back after 0.8 s (by the constants). A tick that comes over a second late is logged (EV1009), which tells a machine that stood still from a slow one.

--- a/src/control_shell.rs
+++ b/src/control_shell.rs
@@ -14,7 +14,7 @@
 use crate::platform_link::PurposedCall;
 use crate::port::{ControlEnvelope, ControlPort};
 use crate::ring::{RingFault, RingReceiver, RingSender};
-use crate::timer::{self, MonotonicClock};
+use crate::timer::{self, BootClock};
 use crate::worker::WorkerOrder;
 
 /// A worker's ring, and the newest order of each kind that found it full.
@@ -53,7 +53,7 @@
 /// The control thread: feeds the controller and carries out its actions.
 pub(crate) struct ControlShell {
     pub(crate) controller: HostController,
-    pub(crate) clock: MonotonicClock,
+    pub(crate) clock: BootClock,
     pub(crate) control: ControlPort,
     pub(crate) events: EventPort,
     pub(crate) platform: RingSender<PurposedCall>,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::rpc::{self, RpcContext};
 use crate::rpc_server;
 use crate::settings::HostSettings;
-use crate::timer::{self, MonotonicClock, TimerService};
+use crate::timer::{self, BootClock, TimerService};
 use crate::token::TokenPair;
 use crate::worker::{self, WorkerOrder, WorkerSetup};
 
@@ -90,7 +90,7 @@
 /// `AddressInvalid` when an address cannot be bound; I/O errors when a thread cannot be started.
 pub fn start(settings: &HostSettings, style: LogStyle) -> error::Result<RunningHost> {
     let settings = sync::Arc::new(settings.clone());
-    let clock = MonotonicClock::start();
+    let clock = BootClock::start();
     let (events, event_thread) = event_writer::spawn(&settings.name, style)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -34,7 +34,11 @@
 use super::watch_role::WatchRole;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
-use crate::timer::{self, Moment, MonotonicClock};
+use crate::timer::{self, BootClock, Moment};
+
+/// Between two looks at what is due, which come ten times a second, lies no more than this on a host that runs,
+/// in milliseconds; else it was suspended or frozen, or its processor was taken away.
+const STOOD_STILL_MS: u64 = 1_000;
 
 /// The state of one entry host.
 #[derive(Debug)]
@@ -66,7 +70,9 @@
     /// Source of random choices.
     pub random: cell::RefCell<SmallRng>,
     settings: cell::RefCell<rc::Rc<EntrySettings>>,
-    clock: MonotonicClock,
+    clock: BootClock,
+    /// When what is due was last looked at.
+    last_tick: cell::Cell<Moment>,
     pub(super) run: u64,
     routes: cell::RefCell<Option<rc::Rc<RouteTable>>>,
     pub(super) evacuations: cell::RefCell<EvacuationList>,
@@ -102,7 +108,8 @@
             own_entry: cell::Cell::new(None),
             random: cell::RefCell::new(SmallRng::seed_from_u64(seed)),
             settings: cell::RefCell::new(rc::Rc::new(settings)),
-            clock: MonotonicClock::start(),
+            clock: BootClock::start(),
+            last_tick: cell::Cell::default(),
             run,
             routes: cell::RefCell::default(),
             evacuations: cell::RefCell::default(),
@@ -210,6 +217,7 @@
     /// Looks after what is due with time.
     pub(super) fn on_tick(&self) {
         let now = self.now();
+        self.note_standstill(now);
         let changes = self.fleet.borrow_mut().on_tick(now);
         self.note_fleet(&changes, "timer");
         let fleet = self.fleet.borrow();
@@ -222,6 +230,16 @@
         self.log.flush();
     }
 
+    fn note_standstill(&self, now: Moment) {
+        let stood_ms = now.since(self.last_tick.replace(now));
+        if stood_ms >= STOOD_STILL_MS {
+            self.note(
+                EventCode::ProcessStoodStill,
+                json!({ "stood_ms": stood_ms }),
+            );
+        }
+    }
+
     /// Puts changed settings in force.
     pub(super) fn install_settings(&self, settings: EntrySettings) {
         if *self.settings.borrow().as_ref() == settings {
--- a/src/event.rs
+++ b/src/event.rs
@@ -53,6 +53,7 @@
     SettingsReloaded = 1006, Info, "Changed settings are in force.";
     SettingsRejected = 1007, Error, "Changed settings could not be read; those before stay in force.";
     KnowledgeComplete = 1008, Info, "This host has a configuration and the list of servers, and can serve.";
+    ProcessStoodStill = 1009, Warn, "This process stood still: its machine was suspended or frozen, or had no processor for it.";
 
     ConfigInstalled = 2001, Info, "A configuration generation is installed.";
     ConfigRejected = 2002, Error, "A configuration from the platform or a peer was refused.";
--- a/src/timer.rs
+++ b/src/timer.rs
@@ -2,9 +2,11 @@
 
 use std::{sync, thread, time};
 
+use rustix::time::ClockId;
+
 use crate::ring;
 
-/// A reading of the monotonic clock, in milliseconds since the process or test began.
+/// A reading of the clock since boot, in milliseconds since the process or test began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct Moment(pub u64);
 
@@ -39,28 +41,46 @@
     }
 }
 
-/// Reads the monotonic clock as [`Moment`]s and the wall clock as Unix milliseconds.
+/// The clock by which promises to other processes are kept: it never goes back, and it counts the time for which
+/// the machine is suspended. By the steady clock, which does not, a host that slept for three seconds would go on
+/// granting from a part of a limit that its owner took back after 0.8 s (by the constants, not measured).
+///
+/// ```
+/// use ledgespool::timer;
+/// let clock = timer::BootClock::start();
+/// let before = clock.now();
+/// assert!(clock.now() >= before);
+/// ```
 #[derive(Debug, Clone, Copy)]
-pub struct MonotonicClock {
-    start: time::Instant,
+pub struct BootClock {
+    start_ms: u64,
 }
 
-impl MonotonicClock {
+impl BootClock {
     /// Starts at moment zero.
     #[must_use]
     pub fn start() -> Self {
         Self {
-            start: time::Instant::now(),
+            start_ms: boot_millis(),
         }
     }
 
     /// The present moment.
     #[must_use]
     pub fn now(&self) -> Moment {
-        Moment(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+        Moment(boot_millis().saturating_sub(self.start_ms))
     }
 }
 
+/// Milliseconds since the machine started, suspended ones included.
+fn boot_millis() -> u64 {
+    let read = rustix::time::clock_gettime(ClockId::Boottime);
+    // The time since boot is never negative.
+    let seconds = read.tv_sec.unsigned_abs();
+    let nanos = read.tv_nsec.unsigned_abs();
+    seconds * 1_000 + nanos / 1_000_000
+}
+
 /// The wall clock in Unix milliseconds; only claim keys and the time line use it.
 #[must_use]
 pub fn unix_millis() -> u64 {
--- a/src/worker/mod.rs
+++ b/src/worker/mod.rs
@@ -34,7 +34,7 @@
 use crate::ring::{self, RingReceiver, RingSender};
 use crate::settings::HostSettings;
 use crate::steering::SteeringRole;
-use crate::timer::{Moment, MonotonicClock};
+use crate::timer::{BootClock, Moment};
 use crate::topology::{HallId, SteeringTopology};
 
 /// Orders that may wait for a worker. When it is full, the control thread keeps the newest order
@@ -74,7 +74,7 @@
     /// The way to the event thread.
     pub events: EventPort,
     /// The process's clock.
-    pub clock: MonotonicClock,
+    pub clock: BootClock,
     /// Seed of random choices.
     pub seed: u64,
     /// Turns true when the process stops.
@@ -87,7 +87,7 @@
     identity: HostIdentity,
     control: ControlPort,
     events: EventPort,
-    clock: MonotonicClock,
+    clock: BootClock,
     metrics: WorkerMetrics,
     steering: SteeringRole,
     lookup: sync::Arc<LookupTable>,
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -5,9 +5,10 @@
 
 use ledgespool::entry::customer::RateLimit;
 use ledgespool::entry::hash;
+use ledgespool::entry::limits::grantor::LimitGrantor;
 use ledgespool::entry::limits::member::{GrantorList, LimitMember, RightStep};
-use ledgespool::entry::limits::message::RightVerdict;
-use ledgespool::entry::limits::{GROUPS, LimitBound, LimitTolerance};
+use ledgespool::entry::limits::message::{LeaseOffer, RightVerdict};
+use ledgespool::entry::limits::{self, GROUPS, LimitBound, LimitTolerance};
 use ledgespool::entry::metrics_page::{CurrentFigures, EntryMetrics};
 use ledgespool::limit_experiment::fixed_parts::{FixedParts, FixedVerdict};
 use ledgespool::limit_experiment::fixed_share::{self, HostShare};
@@ -58,6 +59,42 @@
 
 /// Two grantors deny, a third was not asked: the request is refused, to come back when the first of the two
 /// has room.
+/// While a grantor's machine is suspended the owner takes its part back. A clock that counts the time of the suspension
+/// shows that to the grantor as soon as it wakes, before it has heard anything.
+#[test]
+fn a_grantor_that_was_suspended_grants_nothing_of_parts_that_went_back() {
+    const SUSPENDED_MS: u64 = 3_000;
+    let customer = hash::of_name("mill");
+    let bound = bound(20.0, 40.0);
+    let mut grantor = LimitGrantor::with_name("entry-1", 1);
+    let group = u8::try_from(limits::group_of(customer)).expect("few groups");
+    let mut offer = LeaseOffer {
+        host: "entry-2".to_owned(),
+        run: 1,
+        number: 1,
+        group,
+        share: 1.0,
+        unused: true,
+        stamp: None,
+    };
+    let now = Moment(1_000);
+    let reply = grantor
+        .on_offer(&offer, now)
+        .expect("a group that there is");
+    offer.stamp = Some(reply.stamp);
+    offer.number = 2;
+    assert!(grantor.on_offer(&offer, now).expect("the same").uses);
+    assert_eq!(
+        grantor.grant(customer, &bound, now.plus(1)),
+        RightVerdict::Granted
+    );
+    let woken = now.plus(SUSPENDED_MS);
+    assert_eq!(
+        grantor.grant(customer, &bound, woken),
+        RightVerdict::NotHere
+    );
+}
+
 #[test]
 fn who_was_denied_is_told_when_there_is_room() {
     let bound = bound(50.0, 50.0);
