The age of a host's view of the configuration, in the metrics and in the line of each refused request; keepers tested

A key that was taken away is refused by hosts that know; whether a host can know shows now: how long ago the store, or a host that watches it, had the same configuration. All hosts of 60 name the same keepers of a request, and one of them takes its trials.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -203,6 +203,9 @@
     }
 
     fn on_answered(&mut self, call: &'static str, began: Moment, revision: Option<u64>) {
+        if self.kind == ObjectKind::Configuration {
+            self.host.on_configuration_confirmed(self.host.now());
+        }
         if self.host.watch.on_call(self.kind, false) {
             self.on_found(call, began, revision);
         }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -13,7 +13,7 @@
 use super::lapse_hold::{MissingSource, ToldHolds};
 use super::partial_news::PartialNewsList;
 use super::peer_message::{
-    self, FleetNews, GoneHost, GoneServer, HostNews, PeerHeartbeat, PeerMessage,
+    self, FleetNews, GoneHost, GoneServer, HostNews, PeerHeartbeat, PeerMessage, WatchState,
 };
 use super::peers::{HostRecord, PeerChange};
 use super::store::{ObjectChange, ObjectContent, StoredObject};
@@ -268,6 +268,10 @@
 fn on_heartbeat<W: WireProtocol>(host: &rc::Rc<EntryHost<W>>, heartbeat: &PeerHeartbeat) {
     let now = host.now();
     let change = host.peers.borrow_mut().on_heartbeat(heartbeat, now);
+    let is_same = heartbeat.configuration_version == host.configuration_version();
+    if heartbeat.watch == WatchState::Watching && is_same {
+        host.on_configuration_confirmed(now);
+    }
     let event = match change {
         PeerChange::Heard => Some(EventCode::MemberJoined),
         PeerChange::Leaving => Some(EventCode::MemberLeaving),
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -75,6 +75,8 @@
     last_tick: cell::Cell<Moment>,
     pub(super) run: u64,
     routes: cell::RefCell<Option<rc::Rc<RouteTable>>>,
+    /// When the store, or a host that watches it, last had the same configuration as this one.
+    configuration_confirmed: cell::Cell<Option<Moment>>,
     pub(super) evacuations: cell::RefCell<EvacuationList>,
     pub(super) retry_windows: cell::RefCell<collections::HashMap<String, RetryWindow>>,
     pub(super) route_times: cell::RefCell<RouteTimeTable>,
@@ -112,6 +114,7 @@
             last_tick: cell::Cell::default(),
             run,
             routes: cell::RefCell::default(),
+            configuration_confirmed: cell::Cell::default(),
             evacuations: cell::RefCell::default(),
             retry_windows: cell::RefCell::default(),
             route_times: cell::RefCell::default(),
@@ -149,6 +152,19 @@
             .map_or(0, |routes| routes.configuration().version)
     }
 
+    /// Whoever sees the store had the same configuration as this host at `at`.
+    pub(super) fn on_configuration_confirmed(&self, at: Moment) {
+        self.configuration_confirmed.set(Some(at));
+    }
+
+    /// How old this host's view of the configuration is, in milliseconds: since then a newer one may be in force
+    /// elsewhere. `None` before it has any.
+    #[must_use]
+    pub fn configuration_age_ms(&self) -> Option<u64> {
+        let confirmed = self.configuration_confirmed.get();
+        confirmed.map(|confirmed| self.now().since(confirmed))
+    }
+
     /// Puts a configuration in force unless a newer one is.
     pub fn install_configuration(&self, configuration: &ServiceConfiguration, source: &str) {
         if configuration.version <= self.configuration_version() {
@@ -201,6 +217,7 @@
         let loss = self.log.loss();
         let current = CurrentFigures {
             configuration_version: self.configuration_version(),
+            configuration_age_ms: self.configuration_age_ms(),
             servers: self.fleet.borrow().servers().count(),
             peers: self.peers.borrow().records().count(),
             limit_hosts: self.limits.hosts(),
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -39,7 +39,9 @@
     let host = rc::Rc::new(EntryHost::new(settings, wire, log));
     let signals = StopSignals::open()?;
     let listeners = listen::HostListeners::open(&host.settings())?;
-    host.note(EventCode::ProcessStarted, json!({ "run": host.run }));
+    let first_start = host.settings().first_start;
+    let fields = json!({ "run": host.run, "first_start": first_start });
+    host.note(EventCode::ProcessStarted, fields);
     listeners.serve(&host);
     gossip::spawn(&host)?;
     join_asking::spawn(&host, &store);
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -110,6 +110,8 @@
 pub struct CurrentFigures {
     /// The configuration in force; 0 for none.
     pub configuration_version: u64,
+    /// How old the view of it is, in milliseconds; `None` before there is any, and then there is no line.
+    pub configuration_age_ms: Option<u64>,
     /// Backend servers known.
     pub servers: usize,
     /// Other entry hosts known.
@@ -209,6 +211,13 @@
                 *count,
             );
         }
+        if let Some(age_ms) = current.configuration_age_ms {
+            line(
+                &mut page,
+                "ledgespool_configuration_age_milliseconds",
+                age_ms,
+            );
+        }
         for (name, value) in self.plain(current) {
             line(&mut page, name, value);
         }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -112,6 +112,7 @@
             "key": failure.key.map(|key| key.to_string()),
             "after_ms": millis,
             "version": host.configuration_version(),
+            "configuration_age_ms": host.configuration_age_ms(),
             "fleet_revision": host.fleet.borrow().revision(),
         });
         host.note(EventCode::RequestFailed, fields);
--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -1,13 +1,20 @@
 //! Which requests are kept from servers because servers ended under them.
 
+#[path = "common/peer_records.rs"]
+mod peer_records;
 #[path = "common/seeded.rs"]
 mod seeded;
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
 use ledgespool::entry::fingerprint::RequestFingerprint;
+use ledgespool::entry::peer_message::WatchState;
+use ledgespool::entry::peers::{HostRecord, PeerTable};
 use ledgespool::entry::quarantine::message::SuspectRecord;
 use ledgespool::entry::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
 use ledgespool::entry::quarantine::{
-    CLEARED_LIFE_MS, FIRST_TRIAL_MS, MAX_SUSPECTS, SUSPECT_LIFE_MS, TRIAL_FACTOR,
+    CLEARED_LIFE_MS, FIRST_TRIAL_MS, KEEPERS, MAX_SUSPECTS, SUSPECT_LIFE_MS, TRIAL_FACTOR,
 };
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
@@ -197,3 +204,59 @@
         prop_assert_eq!(hosts[0].digest(), hosts[1].digest());
     }
 }
+
+/// Sixty hosts in three regions, each on a port of its own.
+fn many_hosts() -> Vec<HostRecord> {
+    let hosts = (0..60_u16).map(|number| {
+        let region = ["one", "two", "three"][usize::from(number) % 3];
+        let name = format!("entry-{number}");
+        HostRecord {
+            heartbeat_address: SocketAddr::from(([127, 0, 0, 1], 9_000 + number)),
+            ..peer_records::record(&name, "east", region, 200)
+        }
+    });
+    hosts.collect()
+}
+
+fn table_without(own: &HostRecord, all: &[HostRecord], now: Moment) -> PeerTable {
+    let mut peers = PeerTable::default();
+    for record in all.iter().filter(|record| *record != own) {
+        peers.on_heartbeat(&peer_records::heartbeat(record, WatchState::Idle), now);
+    }
+    peers
+}
+
+/// Ends that different hosts see come together at the same few, wherever the request arrives.
+#[test]
+fn all_hosts_name_the_same_keepers_of_a_request() {
+    let all = many_hosts();
+    for request in 0..20 {
+        let request = RequestFingerprint(request);
+        let mut named = BTreeSet::new();
+        let mut first = Vec::new();
+        for own in &all {
+            let peers = table_without(own, &all, START);
+            let keepers = peers.suspect_keepers(request, KEEPERS, START);
+            assert_eq!(keepers.len(), KEEPERS);
+            // A keeper counts itself and names the next one in its place.
+            named.extend(keepers);
+            first.extend(peers.is_first_keeper(own, request, START).then_some(own));
+        }
+        assert!(named.len() <= KEEPERS + 1, "{named:?}");
+        assert_eq!(first.len(), 1, "one host takes the trials");
+        assert!(named.contains(&first[0].heartbeat_address));
+    }
+}
+
+#[test]
+fn a_host_that_is_silent_counts_no_ends() {
+    let all = many_hosts();
+    let peers = table_without(&all[0], &all, START);
+    let long_after = START.plus(60_000);
+    assert!(
+        peers
+            .suspect_keepers(DEADLY, KEEPERS, long_after)
+            .is_empty()
+    );
+    assert!(peers.is_first_keeper(&all[0], DEADLY, long_after));
+}
