--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -1,11 +1,12 @@
 //! The entry hosts that this one knows: who lives, who is ready, whom callers are sent to.
 //!
-//! What hosts tell of third ones stands in `heard`, where datagrams go in `targets`, and who
+//! What hosts tell of third ones stands in `heard`, how many there are in `region_size`, where datagrams go in `targets`, and who
 //! watches the store in `watchers`.
 
 mod grantors;
 mod heard;
 mod keepers;
+mod region_size;
 mod suspect_keepers;
 mod targets;
 mod watchers;
@@ -17,7 +18,7 @@
 pub use self::targets::NEAR_TARGETS;
 pub use self::watchers::WATCHERS;
 use super::hash;
-use super::peer_message::{PeerHeartbeat, RegionSize, WatchState};
+use super::peer_message::{PeerHeartbeat, WatchState};
 use crate::timer::Moment;
 
 /// A host that was not heard for this long is not named to callers, in milliseconds. Four
@@ -30,11 +31,6 @@
 /// A host of the own region that was silent for this long is forgotten, and its entry is removed from the
 /// store, in milliseconds.
 const REMOVE_MS: u64 = 20_000;
-/// The size of a region that nobody has told again for this long is not gone by any more, in milliseconds:
-/// several times the time in which each host hears from those that know all.
-const TOLD_SIZE_MS: u64 = 60_000;
-/// Hosts that are assumed until all are known: as many as the largest deployment that is planned.
-const UNLISTED_HOSTS: u32 = 470;
 /// One run of an entry host, as the store and other hosts hold it.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct HostRecord {
@@ -108,13 +104,6 @@
     }
 }
 
-/// How many hosts a region has, as another host knew.
-#[derive(Debug, Clone, Copy)]
-struct ToldSize {
-    hosts: u32,
-    at: Moment,
-}
-
 /// The hosts that callers may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct NamedHosts {
@@ -151,7 +140,7 @@
     /// Entries of hosts in the store, on hosts that watch it.
     entries: collections::HashMap<String, keepers::HostEntry>,
     /// The most hosts of each region that others told of lately.
-    told_sizes: collections::BTreeMap<String, ToldSize>,
+    told_sizes: collections::BTreeMap<String, region_size::ToldSize>,
     /// Whether the entries in the store were ever read.
     entries_read: bool,
     /// Whether all hosts are known, as far as can be told.
@@ -305,73 +294,11 @@
         self.listed
     }
 
-    /// All hosts that shared limits are divided by, this one included. A host that has just
-    /// started and has met few others must not take their parts, so it counts many.
-    #[must_use]
-    pub fn host_count(&self) -> u32 {
-        let known = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        if self.listed {
-            known
-        } else {
-            known.max(UNLISTED_HOSTS)
-        }
-    }
-
-    /// How many hosts each region has: those that are known, `own` included, or as many as another host knew
-    /// lately. Objects belong to regions by these sizes. When each host went by those that it knew itself, 383
-    /// of 3,170 objects met two servers or more within four calm seconds; when all had the store's list, 213.
-    #[must_use]
-    pub fn hosts_by_region(&self, own_region: &str) -> collections::BTreeMap<String, u32> {
-        let mut counts = self.region_counts.clone();
-        *counts.entry(own_region.to_owned()).or_default() += 1;
-        for (region, told) in &self.told_sizes {
-            let count = counts.entry(region.clone()).or_default();
-            *count = told.hosts.max(*count);
-        }
-        counts
-    }
-
-    /// Another host tells how many hosts each region has.
-    pub fn on_told_sizes(&mut self, sizes: &[RegionSize], now: Moment) {
-        for size in sizes {
-            self.on_told_size(&size.region, size.hosts, now);
-        }
-    }
-
-    fn on_told_size(&mut self, region: &str, hosts: u32, now: Moment) {
-        let told = self.told_sizes.get(region);
-        let is_over = |told: &ToldSize| now.since(told.at) > TOLD_SIZE_MS;
-        if told.is_none_or(|told| hosts >= told.hosts || is_over(told)) {
-            let size = ToldSize { hosts, at: now };
-            self.told_sizes.insert(region.to_owned(), size);
-        }
-    }
-
     /// Whether a host of each of these halls is known.
     pub fn knows_halls<'a>(&self, mut halls: impl Iterator<Item = &'a str>) -> bool {
         halls.all(|hall| self.records().any(|record| record.hall == hall))
     }
 
-    /// Hosts that are known in `region`, `own` included.
-    #[must_use]
-    pub fn region_size(&self, region: &str) -> u32 {
-        self.region_counts.get(region).copied().unwrap_or(0) + 1
-    }
-
-    /// The size of `region` that others are told: the hosts that are known there, or, by a host that has just
-    /// started and met few, what it was told itself; 0 when it was told nothing. Once it knows all hosts it
-    /// tells what it knows: sizes that are passed on and on would never shrink.
-    #[must_use]
-    pub fn told_region_size(&self, region: &str) -> u32 {
-        if self.listed {
-            return self.region_size(region);
-        }
-        match self.told_sizes.get(region) {
-            Some(told) if told.hosts > 0 => told.hosts.max(self.region_size(region)),
-            _ => 0,
-        }
-    }
-
     /// The hosts to name to a caller in `region`: those that live, are ready and stay, and `own`. Its own
     /// region's, if there are any, else all.
     #[must_use]
