--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -41,6 +41,10 @@
 /// For this long a success stands against late word of ends before it, in milliseconds: the word of a host that
 /// was suspended for some seconds is among it.
 pub const CLEARED_LIFE_MS: u64 = 30_000;
+/// Requests that one datagram names when a server ended under them; some 700 bytes.
+pub const REQUESTS_PER_DATAGRAM: usize = 64;
+/// Suspects that one datagram tells all of; some 1,200 bytes.
+pub const RECORDS_PER_DATAGRAM: usize = 24;
 /// Suspects that a host remembers, the latest; some 200 KB.
 pub const MAX_SUSPECTS: usize = 2_048;
 /// When a barred request may come back, in milliseconds: sooner is of no use to its caller.
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -20,7 +20,7 @@
 use super::pool::{self, ConnectFault};
 use super::quarantine::message::{QuarantineDigest, QuarantineMessage, ServerEnd, SuspectRecord};
 use super::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
-use super::quarantine::{KEEPERS, MAX_SUSPECTS};
+use super::quarantine::{KEEPERS, MAX_SUSPECTS, RECORDS_PER_DATAGRAM, REQUESTS_PER_DATAGRAM};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::timer::Moment;
@@ -39,9 +39,6 @@
     Barred,
 }
 
-/// Requests that one datagram or log line names.
-const REQUESTS_PER_DATAGRAM: usize = 64;
-
 /// What this host knows of requests under which servers ended.
 #[derive(Debug, Default)]
 pub struct QuarantineRole {
@@ -173,7 +170,7 @@
         };
         drop(table);
         self.note_suspect(EventCode::RequestTried, &record, "timer");
-        self.tell_all(vec![record]);
+        self.tell_all(&[record]);
         SuspectAdmission::Trial
     }
 
@@ -209,7 +206,7 @@
                 let name = fingerprint.to_string();
                 self.quarantine.push_store_task(StoreTask::Remove(name));
             }
-            self.tell_all(vec![record]);
+            self.tell_all(&[record]);
         }
     }
 
@@ -247,9 +244,7 @@
         for record in &told {
             self.on_suspect(record, "count");
         }
-        if !told.is_empty() {
-            self.tell_all(told);
-        }
+        self.tell_all(&told);
         counted
     }
 
@@ -294,14 +289,19 @@
         self.note(event, fields);
     }
 
-    fn tell_all(&self, records: Vec<SuspectRecord>) {
+    fn tell_all(&self, records: &[SuspectRecord]) {
+        if records.is_empty() {
+            return;
+        }
         let targets: Vec<net::SocketAddr> = {
             let peers = self.peers.borrow();
             let records = peers.records();
             records.map(|record| record.heartbeat_address).collect()
         };
-        let message = QuarantineMessage::Records(records);
-        gossip::send(self, &PeerMessage::Quarantine(message), &targets);
+        for part in records.chunks(RECORDS_PER_DATAGRAM) {
+            let message = QuarantineMessage::Records(part.to_vec());
+            gossip::send(self, &PeerMessage::Quarantine(message), &targets);
+        }
     }
 
     /// Tells the hosts that count of ends that this one counts alone so far; those with the same hosts share a
--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -9,12 +9,13 @@
 use std::net::SocketAddr;
 
 use ledgespool::entry::fingerprint::RequestFingerprint;
-use ledgespool::entry::peer_message::WatchState;
+use ledgespool::entry::peer_message::{self, PeerMessage, WatchState};
 use ledgespool::entry::peers::{HostRecord, PeerTable};
-use ledgespool::entry::quarantine::message::SuspectRecord;
+use ledgespool::entry::quarantine::message::{QuarantineMessage, ServerEnd, SuspectRecord};
 use ledgespool::entry::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
 use ledgespool::entry::quarantine::{
-    CLEARED_LIFE_MS, FIRST_TRIAL_MS, KEEPERS, MAX_SUSPECTS, SUSPECT_LIFE_MS, TRIAL_FACTOR,
+    CLEARED_LIFE_MS, FIRST_TRIAL_MS, KEEPERS, MAX_SUSPECTS, RECORDS_PER_DATAGRAM,
+    REQUESTS_PER_DATAGRAM, SUSPECT_LIFE_MS, TRIAL_FACTOR,
 };
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
@@ -260,3 +261,29 @@
     );
     assert!(peers.is_first_keeper(&all[0], DEADLY, long_after));
 }
+
+/// A whole hall may end at once; a datagram that does not fit into a frame is lost more often, and a larger one whole.
+#[test]
+fn the_largest_datagrams_fit_into_a_frame() {
+    const FRAME_BYTES: usize = 1_400;
+    let record = SuspectRecord {
+        fingerprint: RequestFingerprint(u64::MAX),
+        ended: vec![u64::MAX; 3],
+        cleared: false,
+        trials: u32::MAX,
+        age_s: u32::MAX,
+    };
+    let end = ServerEnd {
+        server: u64::MAX,
+        requests: vec![RequestFingerprint(u64::MAX); REQUESTS_PER_DATAGRAM],
+    };
+    let messages = [
+        QuarantineMessage::Records(vec![record; RECORDS_PER_DATAGRAM]),
+        QuarantineMessage::Ended(end),
+    ];
+    for message in messages {
+        let written = peer_message::to_bytes(&PeerMessage::Quarantine(message));
+        let written = written.expect("plain data");
+        assert!(written.len() <= FRAME_BYTES, "{} bytes", written.len());
+    }
+}
