What servers say of leaving and rest is read and seen: log lines and metrics, no decision yet

The log could not tell whether hosts heard the words at all, lost them again, or heeded them in some sends only.

Change: what an answer claims of its server is taken in at one place (answer_claims), which says of each claim from which answer it is believed; load, coldness and limits moved there. New words: Server-Leaving, Retry-After of a 503 that did not run. A line when a server first says so (EV5023, EV5024), one for each send against it (EV5025), one for a word that cannot be understood (EV5022, was for limits only; its metric is ledgespool_server_words_unreadable_total now), and gauges. A 421 comes from whoever has the address: its load and coldness are not taken for the server's any more. The note of servers with unreadable words ends with the server; it was never pruned before.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -5,14 +5,16 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
+use serde_json::json;
 
+use super::answer_claims::{AnswerClaims, AnswerProof};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::pool::{self, ServerSender};
 use super::server::ServerLoad;
 use super::server_limit::table::LimitSpell;
-use super::server_limit_role::NamedInAnswer;
 use super::wire::{ServerHead, WireProtocol};
+use crate::event::EventCode;
 use crate::timer::Moment;
 
 /// Answers up to this size are read to their end before the caller sees a byte of them, so that
@@ -201,6 +203,7 @@
     request: &ForwardRequest,
     time_left: time::Duration,
 ) -> OfferEnd {
+    note_notice(host, server, request);
     let message = build_message(host, server, request, time_left);
     let sent_in = host.server_limits.table().spell_of(server.start_hash);
     let (head, body) = match sender.try_send_request(message).await {
@@ -222,8 +225,32 @@
     end
 }
 
-/// What an answer's head alone decides; `None` when the answer is the server's own. The server's
-/// load and coldness are taken in on the way.
+/// Tells when a request goes to a server that had told this host to send none.
+fn note_notice<W: WireProtocol>(
+    host: &EntryHost<W>,
+    server: &FleetServer,
+    request: &ForwardRequest,
+) {
+    let now = host.now();
+    let notice = server.notice();
+    let leaving_since = notice.leaving_since();
+    if leaving_since.is_none() && !notice.is_resting(now) {
+        return;
+    }
+    host.metrics.borrow_mut().sent_against_notice += 1;
+    let rest_until = notice.rest_until();
+    let fields = json!({
+        "id": request.id,
+        "server": server.id,
+        "hall": server.hall,
+        "leaving_for_ms": leaving_since.map(|since| now.since(since)),
+        "rest_left_ms": rest_until.map(|until| until.since(now)),
+    });
+    host.note(EventCode::SentAgainstNotice, fields);
+}
+
+/// What an answer's head alone decides; `None` when the answer is the server's own. What it claims of the
+/// server is taken in on the way.
 fn end_by_head<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
@@ -232,28 +259,33 @@
     sent_in: Option<LimitSpell>,
 ) -> Option<OfferEnd> {
     let told = host.wire.read_answer(&head.headers);
-    if told.request_id.is_some() && told.request_id != request.id.as_deref() {
+    let end = end_of(server, request, head, &told);
+    let claims = AnswerClaims {
+        told: &told,
+        status: head.status,
+        proof: proof_of(head, &told, end.as_ref()),
+        sent_in,
+    };
+    host.on_answer_claims(server, &claims);
+    if matches!(end, Some(OfferEnd::Lost(_))) {
         host.metrics.borrow_mut().answers_dropped += 1;
+    }
+    end
+}
+
+fn end_of(
+    server: &FleetServer,
+    request: &ForwardRequest,
+    head: &http::response::Parts,
+    told: &ServerHead<'_>,
+) -> Option<OfferEnd> {
+    if told.request_id.is_some() && told.request_id != request.id.as_deref() {
         return Some(OfferEnd::Lost(LossCause::OtherRequest));
     }
     let misdirected = head.status == http::StatusCode::MISDIRECTED_REQUEST;
     if misdirected && told.server_id.is_some_and(|id| id != server.id) {
         return Some(OfferEnd::OtherServer);
     }
-    if let Some(load) = told.load {
-        server.on_load(load, host.now());
-    }
-    if let Some(cold) = told.cold {
-        server.set_cold_until(host.now().plus(cold.as_millis() as u64));
-    }
-    if !misdirected {
-        let answer = NamedInAnswer {
-            named: told.limit,
-            sent_in,
-            proves: told.signed || told.not_run,
-        };
-        host.on_named_limit(server, &answer);
-    }
     // 421 promises that the request has not run, whoever says so.
     if told.not_run || misdirected {
         return Some(OfferEnd::NotRun {
@@ -261,9 +293,25 @@
             had_room: told.load.is_some_and(ServerLoad::has_room),
         });
     }
-    let cause = distrust(head, &told)?;
-    host.metrics.borrow_mut().answers_dropped += 1;
-    Some(OfferEnd::Lost(cause))
+    distrust(head, told).map(OfferEnd::Lost)
+}
+
+/// How certain it is that the server wrote an answer that ends its offer so.
+fn proof_of(
+    head: &http::response::Parts,
+    told: &ServerHead<'_>,
+    end: Option<&OfferEnd>,
+) -> AnswerProof {
+    // Whoever has the server's address may have answered this.
+    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        return AnswerProof::Foreign;
+    }
+    match end {
+        Some(OfferEnd::Lost(LossCause::OtherRequest)) => AnswerProof::Foreign,
+        Some(OfferEnd::Lost(_)) => AnswerProof::Distrusted,
+        _ if told.signed || told.not_run => AnswerProof::Proven,
+        _ => AnswerProof::Unsigned,
+    }
 }
 
 fn build_message<W: WireProtocol>(
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -5,6 +5,7 @@
 
 use super::hash;
 use super::server::{ServerLoad, ServerRecord, ServerState};
+use super::server_notice::ServerNotice;
 use crate::timer::Moment;
 
 /// What other hosts had running when a server told its load counts for less with age; after this
@@ -38,6 +39,7 @@
     displaced: bool,
     gone: bool,
     gone_at: Option<Moment>,
+    notice: ServerNotice,
     cold_until: Moment,
     in_flight: u32,
     told: Option<ToldLoad>,
@@ -120,6 +122,17 @@
         !view.draining && !view.gone && !view.displaced
     }
 
+    /// What it has told this host of its own intent.
+    #[must_use]
+    pub fn notice(&self) -> ServerNotice {
+        self.view.borrow().notice
+    }
+
+    /// Takes in what it tells of its own intent.
+    pub fn change_notice<T>(&self, change: impl FnOnce(&mut ServerNotice) -> T) -> T {
+        change(&mut self.view.borrow_mut().notice)
+    }
+
     /// Whether its incarnation has ended.
     #[must_use]
     pub fn is_gone(&self) -> bool {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -18,6 +18,7 @@
 use super::decision_log::{DecisionLog, LineWeight};
 use super::evacuation::EvacuationList;
 use super::fleet::Fleet;
+use super::fleet_server::FleetServer;
 use super::gossip::PeerSocket;
 use super::join::{self, JoinState};
 use super::limit_role::LimitRole;
@@ -221,6 +222,7 @@
     #[must_use]
     pub fn metrics_page(&self) -> String {
         let loss = self.log.loss();
+        let now = self.now();
         let current = CurrentFigures {
             configuration_version: self.configuration_version(),
             configuration_age_ms: self.configuration_age_ms(),
@@ -231,6 +233,8 @@
             barred_requests: self.quarantine.barred_count(),
             store_era: self.store_era.get(),
             limited_servers: self.server_limits.limited_count(),
+            leaving_servers: self.count_servers(|server| server.notice().leaving_since().is_some()),
+            resting_servers: self.count_servers(|server| server.notice().is_resting(now)),
             idle_connections: self.pool.borrow().idle_count(),
             open_requests: self.open_requests(),
             log_left_out: loss.left_out,
@@ -239,6 +243,11 @@
         self.metrics.borrow().page(&current)
     }
 
+    fn count_servers(&self, is_counted: impl Fn(&FleetServer) -> bool) -> usize {
+        let fleet = self.fleet.borrow();
+        fleet.servers().filter(|server| is_counted(server)).count()
+    }
+
     /// Looks after what is due with time.
     pub(super) fn on_tick(&self) {
         let now = self.now();
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -99,8 +99,12 @@
     pub shed: u64,
     /// Servers that ended with requests of this host in hand.
     pub servers_ended: u64,
-    /// Answers that named a limit which could not be understood.
-    pub limits_unreadable: u64,
+    /// Answers in which a server said something of itself that could not be understood.
+    pub words_unreadable: u64,
+    /// Requests for which servers asked this host for rest.
+    pub rests: u64,
+    /// Requests sent to servers that had told this host to send none.
+    pub sent_against_notice: u64,
     /// Rights to send to servers that name limits, as they were given to this host.
     pub send_rights: u64,
     /// Such rights that there were none of.
@@ -136,6 +140,10 @@
     pub store_era: u64,
     /// Servers that name a limit.
     pub limited_servers: usize,
+    /// Servers that said that they leave, or were said to.
+    pub leaving_servers: usize,
+    /// Servers that want no requests from this host now.
+    pub resting_servers: usize,
     /// Idle connections to servers.
     pub idle_connections: usize,
     /// Requests being served.
@@ -238,7 +246,7 @@
         page
     }
 
-    fn plain(&self, current: &CurrentFigures) -> [(&'static str, u64); 26] {
+    fn plain(&self, current: &CurrentFigures) -> [(&'static str, u64); 30] {
         [
             ("ledgespool_within_limit_total", self.within_limit),
             ("ledgespool_limit_hosts", u64::from(current.limit_hosts)),
@@ -261,9 +269,16 @@
                 self.send_rights_unanswered,
             ),
             ("ledgespool_limited_servers", current.limited_servers as u64),
+            ("ledgespool_leaving_servers", current.leaving_servers as u64),
+            ("ledgespool_resting_servers", current.resting_servers as u64),
+            ("ledgespool_server_rests_total", self.rests),
             (
-                "ledgespool_server_limits_unreadable_total",
-                self.limits_unreadable,
+                "ledgespool_sent_against_notice_total",
+                self.sent_against_notice,
+            ),
+            (
+                "ledgespool_server_words_unreadable_total",
+                self.words_unreadable,
             ),
             (
                 "ledgespool_unknown_hosts_told_total",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 //! wake-ups and buys nothing (docs/design/platform.md).
 
 pub mod answer;
+mod answer_claims;
 pub mod budget;
 pub mod catch_up;
 pub mod choice;
@@ -69,6 +70,8 @@
 pub mod server;
 pub mod server_limit;
 mod server_limit_role;
+pub mod server_notice;
+pub mod server_word;
 pub mod settings;
 pub mod stop;
 pub mod store;
--- a/src/entry/server_limit_role.rs
+++ b/src/entry/server_limit_role.rs
@@ -27,8 +27,6 @@
 pub struct ServerLimitRole {
     table: cell::RefCell<ServerLimitTable>,
     questions: PendingAnswers<SendRightAnswer>,
-    /// Servers whose last limit could not be understood, by hashes of identity and start.
-    unreadable: cell::RefCell<rustc_hash::FxHashSet<u64>>,
 }
 
 /// What an answer says of its server's limit.
@@ -66,10 +64,6 @@
 impl<W: WireProtocol> EntryHost<W> {
     /// An answer of `server` has come.
     pub(super) fn on_named_limit(&self, server: &FleetServer, answer: &NamedInAnswer) {
-        if answer.named == NamedLimit::Unreadable {
-            self.on_unreadable_limit(server);
-            return;
-        }
         let change = self.server_limits.table.borrow_mut().on_answer(
             server.start_hash,
             answer.named,
@@ -80,15 +74,6 @@
         self.note_limit(&server.id, change, "answer");
     }
 
-    fn on_unreadable_limit(&self, server: &FleetServer) {
-        self.metrics.borrow_mut().limits_unreadable += 1;
-        let mut unreadable = self.server_limits.unreadable.borrow_mut();
-        if unreadable.insert(server.start_hash) {
-            let fields = json!({ "server": server.id, "hall": server.hall });
-            self.note(EventCode::ServerLimitUnreadable, fields);
-        }
-    }
-
     fn note_limit(&self, server: &str, change: LimitChange, source: &str) {
         let (event, rate) = match change {
             LimitChange::None => return,
--- a/src/entry/wire.rs
+++ b/src/entry/wire.rs
@@ -5,6 +5,7 @@
 use super::customer::KeyDigest;
 use super::server::ServerLoad;
 use super::server_limit::rate::NamedLimit;
+use super::server_word::{LeavingWord, RestWord};
 
 /// What a caller says of its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,6 +50,10 @@
     pub cold: Option<time::Duration>,
     /// The requests a second that the server takes from all hosts together, if it names them.
     pub limit: NamedLimit,
+    /// Whether the server says that it leaves.
+    pub leaving: LeavingWord,
+    /// When the server may be asked again, if it tells.
+    pub come_back: RestWord,
 }
 
 /// Who asks where to go.
--- a/src/event.rs
+++ b/src/event.rs
@@ -96,7 +96,10 @@
     RequestTried = 5019, Info, "A request under which backend servers ended is tried on one server.";
     ServerLimited = 5020, Warn, "A backend server names how many requests a second it takes from all hosts together.";
     ServerUnlimited = 5021, Info, "A backend server names no limit any more.";
-    ServerLimitUnreadable = 5022, Warn, "A backend server names a limit that cannot be understood; it is passed over.";
+    ServerWordUnreadable = 5022, Warn, "A backend server says something of itself that cannot be understood; it is passed over.";
+    ServerSaysLeaving = 5023, Info, "A backend server says in its answers that it leaves.";
+    ServerRests = 5024, Warn, "A backend server turned a request away and wants none from this host for a while.";
+    SentAgainstNotice = 5025, Warn, "A request was sent to a backend server that had told this host to send none.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
