Servers that say that they leave, or ask for rest, get no more: one gate before each send, one memory for each start

Cause: hosts read from an answer what it says of its request and of its server's load and limit; all else was passed on unread. A server that turns requests away at once looks fast and empty, so it drew those of others; each was offered to it twice, which used up the two attempts of its route.

Change: what a server says goes into a notice that belongs to its start: no list, era or other host's word overwrites it, and one whose entry lapses and returns gets it back (past_notices). A choice passes over who rests or leaves. A request is written only with a permit of send_gate, which looks once more at what was said, drained or evacuated while a connection or a right was found; a test holds that nothing else writes requests. After a rest one request at a time shows whether it is over, and no request that another server turned away. One that asks for rest is not asked twice. When all rest, callers hear when the first rest ends, spread out. A server that leaves runs what no other takes for half of the time that it serves on.

Ruled out: lost again (the word stays, the sends go on at once); late sends only (first sends as well).

--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -73,6 +73,7 @@
                 own_hash: 1,
                 other_hashes: None,
             },
+            leave_ms: 2_000,
             limits: &limits,
             now: Moment(number),
         };
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -22,6 +22,7 @@
 use super::region_distance::RegionDistances;
 use super::region_shares::RegionWeights;
 use super::server_limit::table::ServerLimitTable;
+use super::server_notice::ServerStanding;
 use crate::timer::Moment;
 
 /// Places in an object's rank that go by the weights of the regions: its requests run there as long
@@ -82,6 +83,8 @@
     pub patience_ms: f64,
     /// The most that a cold server may get of this host within a second.
     pub cold_share: budget::ColdShare,
+    /// How long a server that leaves serves on at least, in milliseconds.
+    pub leave_ms: u64,
     /// What is known of the limits that servers name.
     pub limits: &'a ServerLimitTable,
     /// The present.
@@ -126,10 +129,10 @@
 
 /// Chooses a server.
 pub fn choose(query: &ChoiceQuery<'_>, random: &mut SmallRng) -> ServerChoice {
-    let ranked = match query.object {
-        Some(object) => rank_by_object(query, object),
-        None => draw(query, random),
-    };
+    let mut ranked = find(query, ServerStanding::Regular, random);
+    if ranked.is_empty() {
+        ranked = find(query, ServerStanding::LastResort, random);
+    }
     if ranked.is_empty() {
         return match first_opening(query) {
             Some(opens) => refuse_until(query, opens, random),
@@ -150,6 +153,18 @@
     }
 }
 
+/// The servers of this standing that are compared.
+fn find(
+    query: &ChoiceQuery<'_>,
+    standing: ServerStanding,
+    random: &mut SmallRng,
+) -> Vec<rc::Rc<FleetServer>> {
+    match query.object {
+        Some(object) => rank(query, object, standing),
+        None => draw(query, standing, random),
+    }
+}
+
 /// Free slots of all candidates together, as far as this host knows.
 fn free_slots(candidates: &[ChosenServer]) -> u32 {
     let free = candidates.iter().map(|candidate| {
@@ -177,25 +192,42 @@
     first_runs.position(|candidate| has_room(query, &candidate.server))
 }
 
-fn fits(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
-    query.limits.is_open(server.start_hash, query.now) && fits_beside_limit(query, server)
+fn fits(query: &ChoiceQuery<'_>, server: &FleetServer, standing: ServerStanding) -> bool {
+    standing_for(query, server) == standing
+        && query.limits.is_open(server.start_hash, query.now)
+        && !server.is_tried_after_rest(query.now)
+        && fits_later(query, server)
 }
 
-/// Whether it may get the request, whatever limit it names.
-fn fits_beside_limit(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
-    server.takes_work()
-        && !query.evacuated.contains(&server.hall)
+/// A request that another server turned away is no trial for one that has just rested: it may be its last attempt.
+fn standing_for(query: &ChoiceQuery<'_>, server: &FleetServer) -> ServerStanding {
+    let standing = server.standing(query.leave_ms, query.now);
+    let is_repeat = !query.tried.is_empty();
+    match standing {
+        ServerStanding::Regular if is_repeat && server.notice().is_on_trial(query.now) => {
+            ServerStanding::LastResort
+        }
+        standing => standing,
+    }
+}
+
+/// Whether it may get the request once its limit and its rest let it.
+fn fits_later(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
+    !query.evacuated.contains(&server.hall)
         && (query.homes.is_empty() || query.homes.contains(&server.region))
         && !query.tried.contains(&server.id)
         && !server.is_ejected(query.now)
         && (!server.is_cold(query.now) || query.cold_share.allows(server, query.now))
 }
 
-/// When the first server that is passed over for its limit may be expected to take a request again.
+/// When the first server that is passed over for its limit or its rest may be expected to take a request again.
 fn first_opening(query: &ChoiceQuery<'_>) -> Option<Moment> {
     let servers = query.servers.iter();
-    let limited = servers.filter(|server| fits_beside_limit(query, server));
-    let opens = limited.filter_map(|server| query.limits.opens_at(server.start_hash));
+    let held = servers.filter(|server| server.takes_work() && fits_later(query, server));
+    let opens = held.filter_map(|server| {
+        let limit = query.limits.opens_at(server.start_hash);
+        limit.max(server.notice().rest_until())
+    });
     opens.min()
 }
 
@@ -207,6 +239,14 @@
 /// weight; in the home places they are multiplied by the region's.
 #[must_use]
 pub fn rank_by_object(query: &ChoiceQuery<'_>, object: u64) -> Vec<rc::Rc<FleetServer>> {
+    rank(query, object, ServerStanding::Regular)
+}
+
+fn rank(
+    query: &ChoiceQuery<'_>,
+    object: u64,
+    standing: ServerStanding,
+) -> Vec<rc::Rc<FleetServer>> {
     let most_slots = query.servers.iter().map(|server| server.slots).max();
     let most_slots = f64::from(most_slots.unwrap_or(1));
     let mut home = RankList::with_places(HOME_PLACES, most_slots * query.weights.largest());
@@ -214,7 +254,7 @@
     let mut open = RankList::with_places(HOME_PLACES + OPEN_PLACES, most_slots);
     for server in query.servers {
         let drawn = hash::uniform(object ^ server.hash);
-        if !(home.may_enter(drawn) || open.may_enter(drawn)) || !fits(query, server) {
+        if !(home.may_enter(drawn) || open.may_enter(drawn)) || !fits(query, server, standing) {
             continue;
         }
         let slots = f64::from(server.slots);
@@ -277,13 +317,17 @@
 
 /// A few at random, among which the earliest expected answer decides: two choices are nearly as
 /// good as all, and hosts do not all run to the same server (Mitzenmacher, 2001).
-fn draw(query: &ChoiceQuery<'_>, random: &mut SmallRng) -> Vec<rc::Rc<FleetServer>> {
+fn draw(
+    query: &ChoiceQuery<'_>,
+    standing: ServerStanding,
+    random: &mut SmallRng,
+) -> Vec<rc::Rc<FleetServer>> {
     let servers = query.servers;
     let tries = servers.len().min(DRAW_TRIES);
     let drawn: Vec<rc::Rc<FleetServer>> = index::sample(random, servers.len(), tries)
         .iter()
         .map(|place| &servers[place])
-        .filter(|server| fits(query, server))
+        .filter(|server| fits(query, server, standing))
         .take(DRAWN_SERVERS)
         .cloned()
         .collect();
@@ -291,7 +335,9 @@
         return drawn;
     }
     // Few fit, as when a region is cut off.
-    let fit = servers.iter().filter(|server| fits(query, server));
+    let fit = servers
+        .iter()
+        .filter(|server| fits(query, server, standing));
     fit.cloned().choose_multiple(random, DRAWN_SERVERS)
 }
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -5,16 +5,15 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
-use serde_json::json;
 
 use super::answer_claims::{AnswerClaims, AnswerProof};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::pool::{self, ServerSender};
+use super::send_gate::{SendPermit, ServerMessage, WithheldCause};
 use super::server::ServerLoad;
 use super::server_limit::table::LimitSpell;
 use super::wire::{ServerHead, WireProtocol};
-use crate::event::EventCode;
 use crate::timer::Moment;
 
 /// Answers up to this size are read to their end before the caller sees a byte of them, so that
@@ -56,6 +55,8 @@
     Answered(Box<ServerAnswer>),
     /// The server was not reached: it has not run.
     NotSent,
+    /// The server may not get it any more: it was not written.
+    Withheld(WithheldCause),
     /// The request's time was over before a connection could be expected to come up: it has not
     /// run, and the server is not to blame.
     OutOfTime,
@@ -203,10 +204,13 @@
     request: &ForwardRequest,
     time_left: time::Duration,
 ) -> OfferEnd {
-    note_notice(host, server, request);
+    let permit = match SendPermit::obtain(host, server, request.id.as_deref()) {
+        Ok(permit) => permit,
+        Err(cause) => return OfferEnd::Withheld(cause),
+    };
     let message = build_message(host, server, request, time_left);
     let sent_in = host.server_limits.table().spell_of(server.start_hash);
-    let (head, body) = match sender.try_send_request(message).await {
+    let (head, body) = match permit.write(&mut sender, message).await {
         Ok(answer) => answer.into_parts(),
         Err(mut fault) => {
             return if fault.take_message().is_some() {
@@ -225,30 +229,6 @@
     end
 }
 
-/// Tells when a request goes to a server that had told this host to send none.
-fn note_notice<W: WireProtocol>(
-    host: &EntryHost<W>,
-    server: &FleetServer,
-    request: &ForwardRequest,
-) {
-    let now = host.now();
-    let notice = server.notice();
-    let leaving_since = notice.leaving_since();
-    if leaving_since.is_none() && !notice.is_resting(now) {
-        return;
-    }
-    host.metrics.borrow_mut().sent_against_notice += 1;
-    let rest_until = notice.rest_until();
-    let fields = json!({
-        "id": request.id,
-        "server": server.id,
-        "hall": server.hall,
-        "leaving_for_ms": leaving_since.map(|since| now.since(since)),
-        "rest_left_ms": rest_until.map(|until| until.since(now)),
-    });
-    host.note(EventCode::SentAgainstNotice, fields);
-}
-
 /// What an answer's head alone decides; `None` when the answer is the server's own. What it claims of the
 /// server is taken in on the way.
 fn end_by_head<W: WireProtocol>(
@@ -319,7 +299,7 @@
     server: &FleetServer,
     request: &ForwardRequest,
     time_left: time::Duration,
-) -> http::Request<Full<Bytes>> {
+) -> ServerMessage {
     let mut message = http::Request::new(Full::new(request.body.clone()));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -10,6 +10,7 @@
 use super::fleet_change::{ChangeSpan, FleetChange, LapsedServer};
 use super::fleet_server::FleetServer;
 use super::lapse_hold::{LapseHold, MissingSource, ReturnSight};
+use super::past_notices::PastNotices;
 use super::server::{ServerRecord, ServerState};
 use super::settings::HallMap;
 use super::store::{ObjectChange, ObjectContent, StoredObject};
@@ -35,6 +36,7 @@
     by_start: rustc_hash::FxHashMap<u64, rc::Rc<FleetServer>>,
     /// The last that ended, for hosts that missed it.
     pub(super) ended: EndedServers,
+    past_notices: PastNotices,
     revision: u64,
     changed: u64,
     lapses: LapseHold,
@@ -250,6 +252,7 @@
 
     /// Takes lapsed servers out whose time is over.
     pub fn on_tick(&mut self, now: Moment) -> Vec<FleetChange> {
+        self.past_notices.on_tick(now);
         let over: Vec<String> = self
             .servers
             .values()
@@ -261,7 +264,8 @@
         }
         let by = self.revision;
         let end = EndKind::Lapsed;
-        let changes = over.iter().filter_map(|id| self.end(id, by, end)).collect();
+        let changes = over.iter().filter_map(|id| self.end(id, by, end, now));
+        let changes = changes.collect();
         self.index();
         changes
     }
@@ -315,6 +319,9 @@
         self.records.insert(record.id.clone(), record.clone());
         let server = FleetServer::from_record(record, halls.region_of(&record.hall));
         server.update(record, now);
+        if let Some(notice) = self.past_notices.take(server.start_hash) {
+            server.change_notice(|known| *known = notice);
+        }
         if may_be_copy {
             server.hold_out(now.plus(store_era::SETTLE_MS));
         }
@@ -377,7 +384,7 @@
             MissingSource::Peer(told) => told.server_hold(id),
         };
         let Some(hold) = hold else {
-            return self.end(id, by, EndKind::Removed);
+            return self.end(id, by, EndKind::Removed, now);
         };
         let newly = server.on_missing(hold.until);
         newly.then(|| {
@@ -389,9 +396,11 @@
         })
     }
 
-    fn end(&mut self, id: &str, by: u64, kind: EndKind) -> Option<FleetChange> {
+    fn end(&mut self, id: &str, by: u64, kind: EndKind, now: Moment) -> Option<FleetChange> {
         let server = self.servers.remove(id)?;
         self.revisions.remove(id);
+        let notice = server.notice();
+        self.past_notices.put(server.start_hash, notice, now);
         server.on_gone();
         if let Some(record) = self.records.remove(id) {
             self.ended.on_ended(&record, by.max(self.revision), kind);
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -5,7 +5,7 @@
 
 use super::hash;
 use super::server::{ServerLoad, ServerRecord, ServerState};
-use super::server_notice::ServerNotice;
+use super::server_notice::{ServerNotice, ServerStanding};
 use crate::timer::Moment;
 
 /// What other hosts had running when a server told its load counts for less with age; after this
@@ -54,6 +54,13 @@
     objects: collections::VecDeque<u64>,
 }
 
+impl ServerView {
+    /// Whether it works, as far as the store and its address say.
+    const fn is_in_service(&self) -> bool {
+        !self.draining && !self.gone && !self.displaced
+    }
+}
+
 /// A load that a server told, and how much of it was this host's.
 #[derive(Debug, Clone, Copy)]
 struct ToldLoad {
@@ -115,11 +122,35 @@
         }
     }
 
-    /// Whether it may get new work as far as the store says.
+    /// Whether it may get new work as far as the store and its own answers say, rests aside.
     #[must_use]
     pub fn takes_work(&self) -> bool {
         let view = self.view.borrow();
-        !view.draining && !view.gone && !view.displaced
+        view.is_in_service() && view.notice.leaving_since().is_none()
+    }
+
+    /// Whether the store says that it leaves.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.view.borrow().draining
+    }
+
+    /// Whether it may get new work now; `leave_ms` is how long a server that leaves serves on at least.
+    #[must_use]
+    pub fn standing(&self, leave_ms: u64, now: Moment) -> ServerStanding {
+        let view = self.view.borrow();
+        if view.is_in_service() {
+            view.notice.standing(leave_ms, now)
+        } else {
+            ServerStanding::Closed
+        }
+    }
+
+    /// Whether it works off the request that shows whether it works again after a rest.
+    #[must_use]
+    pub fn is_tried_after_rest(&self, now: Moment) -> bool {
+        let view = self.view.borrow();
+        view.in_flight > 0 && view.notice.is_on_trial(now)
     }
 
     /// What it has told this host of its own intent.
@@ -199,8 +230,9 @@
     }
 
     /// It answered.
-    pub fn on_success(&self) {
+    pub fn on_success(&self, now: Moment) {
         let mut view = self.view.borrow_mut();
+        view.notice.on_served(now);
         view.failures = 0;
         view.ejections = 0;
         view.ejected_until = None;
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -103,8 +103,8 @@
     pub words_unreadable: u64,
     /// Requests for which servers asked this host for rest.
     pub rests: u64,
-    /// Requests sent to servers that had told this host to send none.
-    pub sent_against_notice: u64,
+    /// Requests sent to servers that leave, since no other might serve them.
+    pub sent_to_leaving: u64,
     /// Rights to send to servers that name limits, as they were given to this host.
     pub send_rights: u64,
     /// Such rights that there were none of.
@@ -272,10 +272,7 @@
             ("ledgespool_leaving_servers", current.leaving_servers as u64),
             ("ledgespool_resting_servers", current.resting_servers as u64),
             ("ledgespool_server_rests_total", self.rests),
-            (
-                "ledgespool_sent_against_notice_total",
-                self.sent_against_notice,
-            ),
+            ("ledgespool_sent_to_leaving_total", self.sent_to_leaving),
             (
                 "ledgespool_server_words_unreadable_total",
                 self.words_unreadable,
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -133,9 +133,7 @@
             let chosen = self.choose()?;
             let server = &chosen.server;
             let needs_right = self.needs_right(server);
-            // Finding one takes time, in which the server may have begun to leave.
-            if !needs_right || (self.host.find_send_right(server).await && self.still_fits(server))
-            {
+            if !needs_right || self.host.find_send_right(server).await {
                 return Ok(chosen);
             }
         }
@@ -149,10 +147,6 @@
         limits.rate_of(server.start_hash).is_some()
     }
 
-    fn still_fits(&self, server: &FleetServer) -> bool {
-        server.takes_work() && !self.host.evacuated_halls().contains(&server.hall)
-    }
-
     fn choose(&self) -> Result<ChosenServer, RequestFailure> {
         let now = self.host.now();
         match self.draw(now) {
@@ -201,6 +195,7 @@
             first_ms: self.first_ms(),
             patience_ms: goal_left_ms as f64,
             cold_share: host.cold_share(self.cold_per_s()),
+            leave_ms: settings.bounds.leave_ms(),
             limits: &limits,
             now,
         };
@@ -254,6 +249,7 @@
             }
             OfferEnd::TimedOut => return Err(self.on_timeout(&server, began, known_object)),
             OfferEnd::NotSent => self.on_not_sent(&server),
+            OfferEnd::Withheld(cause) => self.note_offer(&server, cause.as_str()),
             OfferEnd::OutOfTime => self.note_offer(&server, "out of time before it was sent"),
             OfferEnd::NotRun { status, had_room } => self.on_not_run(&server, status, had_room),
             OfferEnd::OtherServer => self.on_other_server(&server),
@@ -294,8 +290,8 @@
         self.host.on_server_unreachable(server);
     }
 
-    /// A server turned it away. One with free slots is asked once more: it may take the next one, and
-    /// another server would have to do a first run on the object.
+    /// A server turned it away. One with free slots that wants no rest is asked once more: it may take the next one,
+    /// and another server would have to do a first run on the object.
     fn on_not_run(&mut self, server: &FleetServer, status: http::StatusCode, had_room: bool) {
         self.host.metrics.borrow_mut().shed += 1;
         self.note_offer(server, status.as_str());
@@ -304,7 +300,8 @@
             return;
         }
         self.on_sent(RequestFailure::not_run(SHED_COME_BACK_MS));
-        if !self.asked_again {
+        let wants_rest = server.notice().is_resting(self.host.now());
+        if !self.asked_again && !wants_rest {
             self.asked_again = true;
             self.tried.retain(|id| *id != server.id);
         }
--- a/src/entry/route_times.rs
+++ b/src/entry/route_times.rs
@@ -103,10 +103,11 @@
     /// A server answered a request of a route. Only answers about objects that the server knows
     /// tell its pace: a first run is several times longer on the fastest server too.
     pub fn on_answer_time(&self, server: &FleetServer, sample: &AnswerSample<'_>) {
-        server.on_success();
+        let now = self.now();
+        server.on_success(now);
         let pace = self.route_times.borrow_mut().on_answer(sample);
         if sample.known_object {
-            server.on_pace(pace, self.now());
+            server.on_pace(pace, now);
         }
     }
 }
--- a/src/entry/server_notice.rs
+++ b/src/entry/server_notice.rs
@@ -2,6 +2,21 @@
 
 use crate::timer::Moment;
 
+/// Of the time that a server which leaves serves on, the share in which it may still get requests that no other
+/// takes; the rest covers the way there and the work.
+const LAST_RESORT_SHARE: f64 = 0.5;
+
+/// Whether a server may get new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerStanding {
+    /// As any other.
+    Regular,
+    /// It gets only what no other takes.
+    LastResort,
+    /// It gets none.
+    Closed,
+}
+
 /// What one start of a server has told.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ServerNotice {
@@ -34,6 +49,12 @@
         !std::mem::replace(&mut self.unreadable, true)
     }
 
+    /// Whether it told anything that holds on.
+    #[must_use]
+    pub const fn says_something(&self) -> bool {
+        self.leaving_since.is_some() || self.rest_until.is_some()
+    }
+
     /// When it first said that it leaves. Nothing but another start of the server takes this back.
     #[must_use]
     pub const fn leaving_since(&self) -> Option<Moment> {
@@ -46,6 +67,42 @@
         self.rest_until.is_some_and(|until| now < until)
     }
 
+    /// Whether its rest is over and no request has shown yet that it works again.
+    #[must_use]
+    pub fn is_on_trial(&self, now: Moment) -> bool {
+        self.rest_until.is_some_and(|until| until <= now)
+    }
+
+    /// It answered a request.
+    pub fn on_served(&mut self, now: Moment) {
+        if self.is_on_trial(now) {
+            self.rest_until = None;
+        }
+    }
+
+    /// What follows for new work. A server that leaves serves on for `leave_ms` at least.
+    ///
+    /// ```
+    /// use ledgespool::entry::server_notice::{ServerNotice, ServerStanding};
+    /// use ledgespool::timer::Moment;
+    /// let mut notice = ServerNotice::default();
+    /// notice.on_leaving(Moment(0));
+    /// assert_eq!(notice.standing(2_000, Moment(10)), ServerStanding::LastResort);
+    /// assert_eq!(notice.standing(2_000, Moment(1_000)), ServerStanding::Closed);
+    /// ```
+    #[must_use]
+    pub fn standing(&self, leave_ms: u64, now: Moment) -> ServerStanding {
+        if self.is_resting(now) {
+            return ServerStanding::Closed;
+        }
+        let last_resort_ms = leave_ms as f64 * LAST_RESORT_SHARE;
+        match self.leaving_since {
+            None => ServerStanding::Regular,
+            Some(since) if (now.since(since) as f64) < last_resort_ms => ServerStanding::LastResort,
+            Some(_) => ServerStanding::Closed,
+        }
+    }
+
     /// Until when it wants, or wanted, no requests from this host.
     #[must_use]
     pub const fn rest_until(&self) -> Option<Moment> {
--- a/src/event.rs
+++ b/src/event.rs
@@ -99,7 +99,7 @@
     ServerWordUnreadable = 5022, Warn, "A backend server says something of itself that cannot be understood; it is passed over.";
     ServerSaysLeaving = 5023, Info, "A backend server says in its answers that it leaves.";
     ServerRests = 5024, Warn, "A backend server turned a request away and wants none from this host for a while.";
-    SentAgainstNotice = 5025, Warn, "A request was sent to a backend server that had told this host to send none.";
+    SentToLeaving = 5025, Info, "A request was sent to a backend server that leaves, since no other may serve it.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/tests/boundary.rs
+++ b/tests/boundary.rs
@@ -11,6 +11,9 @@
     "response-signature",
     "target-instance",
     "server-load",
+    "server-limit",
+    "server-leaving",
+    "store-era",
     "not-executed",
     "instance-id",
     "cold-ms",
@@ -79,3 +82,16 @@
     let dependencies = dependencies.split("\n[").next().expect("the section");
     assert!(!dependencies.contains("ledgespool-platform"));
 }
+
+#[test]
+fn requests_are_written_to_servers_behind_the_gate_only() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut files = Vec::new();
+    sources(&root.join("src/entry"), &mut files);
+    let writers = files.iter().filter(|file| {
+        let text = fs::read_to_string(file).expect("a readable source");
+        text.contains("send_request(")
+    });
+    let names: Vec<_> = writers.filter_map(|file| file.file_name()).collect();
+    assert_eq!(names, ["send_gate.rs"]);
+}
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -128,6 +128,7 @@
             own_hash: 1,
             other_hashes: None,
         },
+        leave_ms: 2_000,
         limits: asked.limits,
         now: Moment(0),
     }
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -403,7 +403,7 @@
         "on trial one failure is enough"
     );
     assert!(server.is_ejected(Moment(2_999)), "and the time doubles");
-    server.on_success();
+    server.on_success(Moment(0));
     assert!(!server.is_ejected(Moment(1_001)));
     assert!(
         server.on_unreachable(Moment(5_000)),
