Hosts tell each other of servers that say that they leave

Callers saw nothing of this yet; by reading, a host that sends a server few requests hears last that it leaves, and loses those that are not finished when it ends.

Change: the word goes round once, as news and in heartbeats by turns while the store does not say "draining" itself. It never goes back, so it has no versions. Only answers that the server certainly wrote are told on: what merely seems to come from it concerns the host that passes it on. The format of messages between hosts is 8.

--- a/src/entry/answer_claims.rs
+++ b/src/entry/answer_claims.rs
@@ -82,7 +82,7 @@
             server.set_cold_until(now.plus(cold.as_millis() as u64));
         }
         self.on_limit_claim(server, claims);
-        self.on_leaving_claim(server, claims.leaving());
+        self.on_leaving_claim(server, claims);
         self.on_rest_claim(server, claims.rest());
     }
 
@@ -99,20 +99,29 @@
         self.on_named_limit(server, &answer);
     }
 
-    fn on_leaving_claim(&self, server: &FleetServer, word: LeavingWord) {
-        match word {
+    fn on_leaving_claim(&self, server: &FleetServer, claims: &AnswerClaims<'_>) {
+        match claims.leaving() {
             LeavingWord::Absent => {}
             LeavingWord::Unreadable => self.on_unreadable_word(server, "leaving"),
             LeavingWord::Leaving => {
-                let now = self.now();
-                if server.change_notice(|notice| notice.on_leaving(now)) {
-                    let fields = json!({ "server": server.id, "hall": server.hall });
-                    self.note(EventCode::ServerSaysLeaving, fields);
+                // What only seems to come from the server concerns this host alone: it passes the answer on.
+                self.on_server_leaving(server, "answer");
+                if claims.proof == AnswerProof::Proven && !server.is_draining() {
+                    self.leaving_news.push(server.start_hash);
                 }
             }
         }
     }
 
+    /// A server leaves, as it or another host says.
+    pub(super) fn on_server_leaving(&self, server: &FleetServer, source: &str) {
+        let now = self.now();
+        if server.change_notice(|notice| notice.on_leaving(now)) {
+            let fields = json!({ "server": server.id, "hall": server.hall, "source": source });
+            self.note(EventCode::ServerSaysLeaving, fields);
+        }
+    }
+
     fn on_rest_claim(&self, server: &FleetServer, word: RestWord) {
         let rest = match word {
             RestWord::Absent => return,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -220,6 +220,7 @@
             Ok(PeerMessage::ServerLimit(message)) => {
                 server_limit_role::on_message(&host, message, source);
             }
+            Ok(PeerMessage::Leaving(servers)) => host.on_leaving_told(&servers, "peer"),
             Err(fault) => host.note_malformed(&source.to_string(), &fault),
         }
     }
@@ -255,6 +256,7 @@
         host.on_evacuation_list(halls, heartbeat.evacuation_changed);
     }
     host.on_limit_words(&heartbeat.server_limits, Some(source));
+    host.on_leaving_told(&heartbeat.leaving_servers, &heartbeat.host);
     if heartbeat.ready && !heartbeat.leaving {
         join_asking::on_ready_heard(host, heartbeat);
     }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -21,6 +21,7 @@
 use super::fleet_server::FleetServer;
 use super::gossip::PeerSocket;
 use super::join::{self, JoinState};
+use super::leaving_news::LeavingNews;
 use super::limit_role::LimitRole;
 use super::metrics_page::{CurrentFigures, EntryMetrics};
 use super::peer_message::PeerFormatError;
@@ -87,6 +88,7 @@
     pub(super) limits: LimitRole,
     pub(super) quarantine: QuarantineRole,
     pub(super) server_limits: ServerLimitRole,
+    pub(super) leaving_news: LeavingNews,
     /// The store's era, as this host or another has seen it.
     pub(super) store_era: cell::Cell<u64>,
 }
@@ -128,6 +130,7 @@
             limits,
             quarantine: QuarantineRole::default(),
             server_limits: ServerLimitRole::default(),
+            leaving_news: LeavingNews::default(),
             store_era: cell::Cell::new(0),
         }
     }
@@ -261,6 +264,7 @@
         self.look_for_all_hosts(now);
         self.quarantine.on_tick(now);
         self.on_limit_tick();
+        self.on_leaving_tick();
         self.on_evacuation_tick();
         join::spread_met(self);
         self.log.flush();
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -13,7 +13,7 @@
 
 /// The number of the format. Hosts pass over messages of another one, so that two versions of the
 /// program can run side by side while it is replaced.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// Why a message of another host could not be understood.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -83,6 +83,8 @@
     Quarantine(QuarantineMessage),
     /// Limits that servers name.
     ServerLimit(ServerLimitMessage),
+    /// Servers that say that they leave, by the hashes of identity and start.
+    Leaving(Vec<u64>),
 }
 
 /// What a host tells the others at regular times.
@@ -112,6 +114,8 @@
     pub quarantine: QuarantineDigest,
     /// Some of what it knows of the limits that servers name, all of it in turn.
     pub server_limits: Vec<LimitWord>,
+    /// Some of the servers that say that they leave and of which the store does not tell yet, all in turn.
+    pub leaving_servers: Vec<u64>,
     /// How many hosts it knows, itself included: one that knows fewer asks.
     pub known_hosts: u32,
     /// How many of them stand in its region.
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -45,6 +45,14 @@
         far.choose_multiple(random, FAR_TARGETS)
     }
 
+    /// Where word goes that those who get it tell on: to some hosts of the own region and a few of others.
+    #[must_use]
+    pub fn word_targets(&self, region: &str, random: &mut SmallRng) -> Vec<net::SocketAddr> {
+        let mut targets = self.near_targets(region, random);
+        targets.extend(self.far_targets(region, random));
+        targets
+    }
+
     /// Where word goes that all hosts of a region need at once; those of other regions have it
     /// from their own watchers, or ask when a heartbeat shows that they lack it.
     #[must_use]
--- a/src/entry/server_limit_role.rs
+++ b/src/entry/server_limit_role.rs
@@ -226,10 +226,7 @@
         let region = self.settings().region.clone();
         let targets = {
             let mut random = self.random.borrow_mut();
-            let peers = self.peers.borrow();
-            let mut targets = peers.near_targets(&region, &mut random);
-            targets.extend(peers.far_targets(&region, &mut random));
-            targets
+            self.peers.borrow().word_targets(&region, &mut random)
         };
         self.tell_limits(&news, &targets);
     }
--- a/tests/common/peer_records.rs
+++ b/tests/common/peer_records.rs
@@ -33,6 +33,7 @@
         evacuation_changed: 0,
         evacuated: Vec::new(),
         quarantine: ledgespool::entry::quarantine::message::QuarantineDigest::default(),
+        leaving_servers: Vec::new(),
         server_limits: Vec::new(),
         known_hosts: 1,
         known_near: 1,
