A barred request that stood beside another one is tried after seconds, not after a minute

Cause: the look-up was at hand whenever a server ended, three times without a success between, so it was barred like the two that did it, and its first trial came after a minute. That minute is right for one that stands alone: it must not end more than a few servers more. Of several that are barred over the same servers some are innocent.

Change: a barred request has one trial after three to six seconds when a server of it also ended under another barred one; the moment is drawn from its fingerprint, so that two do not meet on one server. A success clears it, and the other then stands alone. Not counted among the ever rarer trials: one that does end servers is sent three times within an hour at most, as a test holds.

Tests: both fail without the change (the first trial is due after 60 s).

--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -13,7 +13,8 @@
 //! success clears it everywhere: what one server can run did not end the others.
 //!
 //! A request that was barred though it did nothing, because a hall lost power under it, must not stay so: after
-//! [`FIRST_TRIAL_MS`], and then ever more seldom, one host sends it to one server, and a success clears it.
+//! [`FIRST_TRIAL_MS`], and then ever more seldom, one host sends it to one server, and a success clears it. One that
+//! only stood beside others is asked for often and has its first trial after [`SWIFT_TRIAL_MS`].
 //!
 //! Records merge in any order and however often they come ([`table::QuarantineTable`]), and heartbeats carry a
 //! digest of them, so a host that was cut off, suspended or started later finds out what it lacks. What is
@@ -36,6 +37,12 @@
 /// A barred request is tried on one server after this time, in milliseconds: what ends a whole hall is over by
 /// then, and one that ends servers must not end more than a few beyond [`SERVERS_TO_BAR`].
 pub const FIRST_TRIAL_MS: u64 = 60_000;
+/// A barred request is tried once after this time already, in milliseconds, when a server of it also ended under another
+/// barred one: one of them did it, and the others were beside it.
+pub const SWIFT_TRIAL_MS: u64 = 3_000;
+/// Swift trials of several requests are spread over this time, in milliseconds, so that one does not take another's
+/// server with it.
+pub const SWIFT_SPREAD_MS: u64 = 3_000;
 /// Each further trial comes this many times later than the one before: three within two hours.
 pub const TRIAL_FACTOR: u64 = 10;
 /// For this long a success stands against late word of ends before it, in milliseconds: the word of a host that
--- a/src/entry/quarantine/table.rs
+++ b/src/entry/quarantine/table.rs
@@ -3,7 +3,7 @@
 use super::message::{QuarantineDigest, SuspectRecord};
 use super::{
     CLEARED_LIFE_MS, FIRST_TRIAL_MS, MAX_SUSPECTS, SERVERS_TO_BAR, SERVERS_TO_TELL,
-    SUSPECT_LIFE_MS, TRIAL_FACTOR,
+    SUSPECT_LIFE_MS, SWIFT_SPREAD_MS, SWIFT_TRIAL_MS, TRIAL_FACTOR,
 };
 use crate::entry::fingerprint::RequestFingerprint;
 use crate::entry::hash;
@@ -33,6 +33,15 @@
     Tell(SuspectRecord),
 }
 
+/// A trial of a barred request on a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DueTrial {
+    /// Once, soon after it was barred beside others.
+    Swift,
+    /// Ever more seldom.
+    Regular,
+}
+
 /// One suspect.
 #[derive(Debug, Clone)]
 struct SuspectEntry {
@@ -41,8 +50,10 @@
     cleared: bool,
     /// When something was last heard of it.
     heard: Moment,
-    /// How often it was tried since it was barred.
+    /// How often it was tried since it was barred, beside the swift trial.
     trials: u32,
+    /// Whether it had its swift trial here.
+    tried_swiftly: bool,
     /// When it was barred here, or the last trial heard of.
     waits_since: Moment,
 }
@@ -82,10 +93,24 @@
         self.ended.len() > before
     }
 
-    /// Whether it is time to try it on a server.
-    fn is_trial_due(&self, now: Moment) -> bool {
+    /// Which trial on a server is due, if one is; `stood_beside` says that a server of it ended under another one as well.
+    fn due_trial(
+        &self,
+        fingerprint: RequestFingerprint,
+        stood_beside: bool,
+        now: Moment,
+    ) -> Option<DueTrial> {
+        if self.state() != SuspectState::Barred {
+            return None;
+        }
+        let waited_ms = now.since(self.waits_since);
         let wait_ms = FIRST_TRIAL_MS.saturating_mul(TRIAL_FACTOR.saturating_pow(self.trials));
-        self.state() == SuspectState::Barred && now.since(self.waits_since) >= wait_ms
+        if waited_ms >= wait_ms {
+            return Some(DueTrial::Regular);
+        }
+        let swift_ms = SWIFT_TRIAL_MS + fingerprint.0 % SWIFT_SPREAD_MS;
+        let may_be_swift = stood_beside && self.trials == 0 && !self.tried_swiftly;
+        (may_be_swift && waited_ms >= swift_ms).then_some(DueTrial::Swift)
     }
 
     /// A server has answered it; which ones ended before does not matter any more.
@@ -223,16 +248,35 @@
         fingerprint: RequestFingerprint,
         now: Moment,
     ) -> Option<SuspectRecord> {
+        let stood_beside = self.stood_beside_others(fingerprint);
         let entry = self.entries.get_mut(&fingerprint)?;
-        if !entry.is_trial_due(now) {
-            return None;
+        match entry.due_trial(fingerprint, stood_beside, now)? {
+            DueTrial::Swift => entry.tried_swiftly = true,
+            DueTrial::Regular => entry.trials += 1,
         }
-        entry.trials += 1;
         entry.waits_since = now;
         entry.heard = now;
         Some(entry.record(fingerprint, now))
     }
 
+    /// Whether a server that ended under a request also ended under another one that is barred.
+    fn stood_beside_others(&self, fingerprint: RequestFingerprint) -> bool {
+        let Some(entry) = self.entries.get(&fingerprint) else {
+            return false;
+        };
+        let others = self
+            .entries
+            .iter()
+            .filter(|(other, _)| **other != fingerprint);
+        let mut barred = others.filter(|(_, other)| other.state() == SuspectState::Barred);
+        barred.any(|(_, other)| {
+            other
+                .ended
+                .iter()
+                .any(|server| entry.ended.contains(server))
+        })
+    }
+
     /// A barred request came again: it is remembered for longer.
     pub fn on_refused(&mut self, fingerprint: RequestFingerprint, now: Moment) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
@@ -287,6 +331,7 @@
                 cleared: false,
                 heard,
                 trials: 0,
+                tried_swiftly: false,
                 waits_since: now,
             });
         let adds_servers = entry.add(&record.ended);
--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -15,7 +15,7 @@
 use ledgespool::entry::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
 use ledgespool::entry::quarantine::{
     CLEARED_LIFE_MS, FIRST_TRIAL_MS, KEEPERS, MAX_SUSPECTS, RECORDS_PER_DATAGRAM,
-    REQUESTS_PER_DATAGRAM, SUSPECT_LIFE_MS, TRIAL_FACTOR,
+    REQUESTS_PER_DATAGRAM, SUSPECT_LIFE_MS, SWIFT_SPREAD_MS, SWIFT_TRIAL_MS, TRIAL_FACTOR,
 };
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
@@ -115,6 +115,38 @@
 }
 
 /// A host that wakes with what it knew before must not bring it to life again among the others.
+/// Seen as 13,267 refusals of an ordinary look-up that was at hand when servers ended under two others.
+#[test]
+fn a_request_that_stood_beside_one_that_ends_servers_is_tried_soon() {
+    let mut table = after_ends(&[1, 2, 3]);
+    for server in [2, 3, 4] {
+        table.on_ended(OTHER, server, START);
+    }
+    assert!(table.is_barred(OTHER));
+    assert_eq!(
+        table.try_barred(OTHER, START.plus(SWIFT_TRIAL_MS - 1)),
+        None
+    );
+    let soon = START.plus(SWIFT_TRIAL_MS + SWIFT_SPREAD_MS);
+    assert!(table.try_barred(OTHER, soon).is_some());
+    table.on_success(OTHER, soon);
+    assert!(!table.is_barred(OTHER));
+    // The other one stands alone now.
+    assert_eq!(table.try_barred(DEADLY, soon.plus(1)), None);
+}
+
+#[test]
+fn a_request_that_ends_servers_is_tried_no_more_than_three_times_in_an_hour_whatever_stands_beside_it()
+ {
+    let mut table = after_ends(&[1, 2, 3]);
+    for server in [1, 2, 3] {
+        table.on_ended(OTHER, server, START);
+    }
+    let seconds = (0..3_600).map(|second| START.plus(second * 1_000));
+    let trials = seconds.filter(|now| table.try_barred(DEADLY, *now).is_some());
+    assert_eq!(trials.count(), 3);
+}
+
 #[test]
 fn a_record_that_is_old_is_not_taken_over() {
     let record = SuspectRecord {
