A host that knows no other greets the seeds, though the store has served it already

Callers saw (by reading): a host that nobody knows is not named in look-ups, and takes the whole of each shared limit for its own part. Seen: of 40 starts of 9 hosts 2 and of 8 starts of 33 hosts 4 were whole after 4.5 s only, nearly to the hundredth; one to three hosts knew nobody meanwhile.

Cause: a host asks the seeds until it can serve. One that the store serves within milliseconds asks none, and has nobody to introduce itself to; it is met when its entry in the store is written, after 3 s to settle and two checks of a second. All seven that were looked at had listed the store themselves (EV1008, source store).

Change: a heartbeat of a host that knows no other goes to the seeds' heartbeat ports, at once and then with each beat; who hears it answers.

--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -30,6 +30,9 @@
 /// Every so many heartbeats carry the host's whole record.
 const RECORD_EVERY: u64 = 4;
 
+/// What a host that knows no other tells as the number of hosts that it knows.
+const KNOWS_ITSELF: u32 = 1;
+
 /// The socket for datagrams, and news of which some parts are still missing.
 #[derive(Debug, Default)]
 pub struct PeerSocket {
@@ -190,6 +193,10 @@
 
 fn beat_once<W: WireProtocol>(host: &EntryHost<W>, whole: bool) {
     let heartbeat = host.heartbeat(whole);
+    if heartbeat.known_hosts == KNOWS_ITSELF {
+        greet_seeds(host);
+        return;
+    }
     let region = host.settings().region.clone();
     let (near, far) = {
         let mut random = host.random.borrow_mut();
@@ -202,6 +209,19 @@
     send(host, &PeerMessage::Heartbeat(Box::new(far_heartbeat)), &far);
 }
 
+/// Tells the seeds of this host, which knows no other. It may have been served by the store before it asked any.
+fn greet_seeds<W: WireProtocol>(host: &EntryHost<W>) {
+    let settings = host.settings();
+    let own = settings.peer_address.ip();
+    let seeds = settings.seeds.iter().map(net::SocketAddr::ip);
+    let others = seeds.filter(|seed| *seed != own);
+    let targets: Vec<net::SocketAddr> = others
+        .map(|seed| (seed, settings.heartbeat_port).into())
+        .collect();
+    let message = PeerMessage::Heartbeat(Box::new(host.heartbeat(true)));
+    send(host, &message, &targets);
+}
+
 async fn receive<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, socket: rc::Rc<UdpSocket>) {
     let mut buffer = vec![0_u8; 2 * news_part::MAX_DATAGRAM_BYTES];
     loop {
@@ -233,6 +253,11 @@
 ) {
     let now = host.now();
     let change = host.peers.borrow_mut().on_heartbeat(heartbeat, now);
+    let is_met = host.peers.borrow().run_of(&heartbeat.host) > 0;
+    if heartbeat.known_hosts == KNOWS_ITSELF && is_met {
+        let greeting = PeerMessage::Heartbeat(Box::new(host.heartbeat(true)));
+        send(host, &greeting, &[source]);
+    }
     host_gossip::ask_who(host, heartbeat, source);
     let position = heartbeat.fleet_changed.max(heartbeat.evacuation_changed);
     host.on_store_position(position, &heartbeat.host);
