An empty list of entries does not prove that there are no other hosts

By reading: hosts that start together find the store without entries, since each writes its own after seconds. The empty list was taken for "no hall has others", so that each took the whole of every shared limit (cold servers, repeats, customers' limits) for its own part until it had met the others. Counting too few is never safe.

Change: where the settings name other seeds, an empty list counts only once another host is known; before that as many hosts are counted as the largest deployment has, as for any host that knows no list. A host that is its own only seed is alone, as before. Test: failed before (one host counted).

--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -212,10 +212,8 @@
 /// Tells the seeds of this host, which knows no other. It may have been served by the store before it asked any.
 fn greet_seeds<W: WireProtocol>(host: &EntryHost<W>) {
     let settings = host.settings();
-    let own = settings.peer_address.ip();
-    let seeds = settings.seeds.iter().map(net::SocketAddr::ip);
-    let others = seeds.filter(|seed| *seed != own);
-    let targets: Vec<net::SocketAddr> = others
+    let seeds = settings.other_seeds();
+    let targets: Vec<net::SocketAddr> = seeds
         .map(|seed| (seed, settings.heartbeat_port).into())
         .collect();
     let message = PeerMessage::Heartbeat(Box::new(host.heartbeat(true)));
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -102,6 +102,10 @@
         let mut fleet = Fleet::default();
         fleet.set_leave_ms(settings.bounds.leave_ms());
         let limits = LimitRole::of_host(&settings.name, run);
+        let mut peers = PeerTable::default();
+        if settings.has_other_seeds() {
+            peers.on_other_seeds();
+        }
         Self {
             wire,
             log,
@@ -109,7 +113,7 @@
             fleet: cell::RefCell::new(fleet),
             pool: cell::RefCell::default(),
             distances: cell::RefCell::default(),
-            peers: cell::RefCell::default(),
+            peers: cell::RefCell::new(peers),
             socket: PeerSocket::default(),
             fetches: OpenFetches::default(),
             join: JoinState::default(),
--- a/src/entry/peers/keepers.rs
+++ b/src/entry/peers/keepers.rs
@@ -70,7 +70,8 @@
     }
 
     /// The entries of hosts as the store has just listed them. A hall with fewer than it may keep has no other
-    /// hosts; if that is so of each, all hosts are known.
+    /// hosts; if that is so of each, all hosts are known. No entries at all prove nothing before another host is known:
+    /// those that start together write theirs later.
     pub fn on_entries(&mut self, records: &[HostRecord]) {
         self.entries_read = true;
         self.entries.clear();
@@ -79,7 +80,8 @@
             self.on_entry(record);
             *halls.entry(&record.hall).or_default() += 1;
         }
-        if halls.values().all(|count| *count < ENTRY_KEEPERS) {
+        let are_few = halls.values().all(|count| *count < ENTRY_KEEPERS);
+        if are_few && !(records.is_empty() && self.may_have_peers && self.is_empty()) {
             self.on_listed();
         }
     }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -150,6 +150,8 @@
     entries_read: bool,
     /// Whether all hosts are known, as far as can be told.
     listed: bool,
+    /// Whether the settings name seeds beside this host, so that there probably are other hosts.
+    may_have_peers: bool,
 }
 
 impl PeerTable {
@@ -173,6 +175,10 @@
             Some(before) => self.uncount(&before.record.region),
             None => self.on_new_name(&record.name),
         }
+        // Those that start together find the store without entries, and know each other by heartbeats.
+        if self.entries_read && self.entries.is_empty() {
+            self.on_listed();
+        }
         let count = self.region_counts.entry(record.region.clone());
         *count.or_default() += 1;
     }
@@ -289,6 +295,11 @@
         self.entries_read
     }
 
+    /// The settings name seeds beside this host.
+    pub const fn on_other_seeds(&mut self) {
+        self.may_have_peers = true;
+    }
+
     /// All hosts are known, since another host that knows them told, or enough time has passed.
     pub const fn on_listed(&mut self) {
         self.listed = true;
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -49,6 +49,21 @@
     pub bounds: SharedBounds,
 }
 
+impl EntrySettings {
+    /// The addresses of seeds beside this host.
+    pub fn other_seeds(&self) -> impl Iterator<Item = net::IpAddr> {
+        let own = self.peer_address.ip();
+        let seeds = self.seeds.iter().map(net::SocketAddr::ip);
+        seeds.filter(move |seed| *seed != own)
+    }
+
+    /// Whether there are any.
+    #[must_use]
+    pub fn has_other_seeds(&self) -> bool {
+        self.other_seeds().next().is_some()
+    }
+}
+
 /// The region of each hall.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct HallMap {
--- a/tests/entry_keepers.rs
+++ b/tests/entry_keepers.rs
@@ -43,6 +43,21 @@
     kept.map(|host| host.name.clone()).collect()
 }
 
+/// Of hosts that start together each would take the whole of every shared limit for its own part.
+#[test]
+fn a_host_that_has_heard_nobody_counts_many_though_the_store_lists_no_entries() {
+    let mut peers = PeerTable::default();
+    peers.on_other_seeds();
+    peers.on_entries(&[]);
+    assert!(!peers.is_listed() && peers.host_count() > 100);
+    peers.on_record(&fleet(2)[0], Moment(0));
+    assert!(peers.is_listed());
+    assert_eq!(peers.host_count(), 2);
+    let mut alone = PeerTable::default();
+    alone.on_entries(&[]);
+    assert_eq!(alone.host_count(), 1);
+}
+
 #[test]
 fn entries_do_not_grow_with_the_hosts() {
     for per_hall in [4, 33, 160] {
