--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -12,6 +12,7 @@
 use super::pool::{self, ServerSender};
 use super::send_gate::{SendPermit, ServerMessage, WithheldCause};
 use super::server::ServerLoad;
+use super::server_limit::right::SendRight;
 use super::server_limit::table::LimitSpell;
 use super::wire::{ServerHead, WireProtocol};
 use crate::timer::Moment;
@@ -133,13 +134,22 @@
     }
 }
 
-/// Offers a request to a server until `deadline`. Dropping the future closes the connection, which
+/// On what terms a request is offered to a server.
+#[derive(Debug, Clone, Copy)]
+pub struct OfferTerms {
+    /// When it must have been answered.
+    pub deadline: Moment,
+    /// The right to send it.
+    pub right: SendRight,
+}
+
+/// Offers a request to a server until its deadline. Dropping the future closes the connection, which
 /// cancels the server's work.
 pub async fn offer<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &rc::Rc<FleetServer>,
     request: &ForwardRequest,
-    deadline: Moment,
+    terms: OfferTerms,
 ) -> OfferEnd {
     let _slot = HeldSlot::at(server);
     let must_be_fresh = !request.may_repeat;
@@ -148,14 +158,14 @@
         .borrow_mut()
         .take(&server.id, must_be_fresh, host.now());
     if let Some(sender) = kept {
-        match send_in_time(host, server, sender, request, deadline).await {
+        match send_in_time(host, server, sender, request, terms).await {
             // The server closed the connection while it rested; nothing was written.
             OfferEnd::NotSent => {}
             end => return end,
         }
     }
-    match connect(host, server, deadline).await {
-        Ok(sender) => send_in_time(host, server, sender, request, deadline).await,
+    match connect(host, server, terms.deadline).await {
+        Ok(sender) => send_in_time(host, server, sender, request, terms).await,
         Err(end) => end,
     }
 }
@@ -189,10 +199,10 @@
     server: &FleetServer,
     sender: ServerSender,
     request: &ForwardRequest,
-    deadline: Moment,
+    terms: OfferTerms,
 ) -> OfferEnd {
-    let left = time::Duration::from_millis(deadline.since(host.now()));
-    let sending = send(host, server, sender, request, left);
+    let left = time::Duration::from_millis(terms.deadline.since(host.now()));
+    let sending = send(host, server, sender, request, terms);
     let end = tokio::time::timeout(left, sending).await;
     end.unwrap_or(OfferEnd::TimedOut)
 }
@@ -202,12 +212,14 @@
     server: &FleetServer,
     mut sender: ServerSender,
     request: &ForwardRequest,
-    time_left: time::Duration,
+    terms: OfferTerms,
 ) -> OfferEnd {
-    let permit = match SendPermit::obtain(host, server, request.id.as_deref()) {
+    let id = request.id.as_deref();
+    let permit = match SendPermit::obtain(host, server, terms.right, id) {
         Ok(permit) => permit,
         Err(cause) => return OfferEnd::Withheld(cause),
     };
+    let time_left = time::Duration::from_millis(terms.deadline.since(host.now()));
     let message = build_message(host, server, request, time_left);
     let sent_in = host.server_limits.table().spell_of(server.start_hash);
     let (head, body) = match permit.write(&mut sender, message).await {
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -7,7 +7,7 @@
 
 use super::choice::{self, ChoiceQuery, ChosenServer, NoServer, ServerChoice};
 use super::configuration::RequestKind;
-use super::exchange::{self, LossCause, OfferEnd, ServerAnswer};
+use super::exchange::{self, LossCause, OfferEnd, OfferTerms, ServerAnswer};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::offer_record::OfferRecord;
@@ -16,6 +16,7 @@
 use super::request_failure::RequestFailure;
 use super::route_times::AnswerSample;
 use super::server_limit;
+use super::server_limit::right::SendRight;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::timer::Moment;
@@ -73,10 +74,10 @@
         last: None,
     };
     for _ in 0..MAX_OFFERS {
-        let Some(chosen) = series.next_server().await? else {
+        let Some((chosen, right)) = series.next_server().await? else {
             break;
         };
-        if let Some(answered) = series.offer(chosen).await? {
+        if let Some(answered) = series.offer(chosen, right).await? {
             return Ok(answered);
         }
         if series.sent >= open.route.attempts.max(1) {
@@ -106,8 +107,8 @@
 }
 
 impl<W: WireProtocol> OfferSeries<'_, W> {
-    /// The server for the next offer; `None` if there must be no more.
-    async fn next_server(&mut self) -> Result<Option<ChosenServer>, RequestFailure> {
+    /// The server for the next offer, and the right to send to it; `None` if there must be no more.
+    async fn next_server(&mut self) -> Result<Option<(ChosenServer, SendRight)>, RequestFailure> {
         if self.open.deadline.since(self.host.now()) < LEAST_TIME_MS {
             return Ok(None);
         }
@@ -118,23 +119,21 @@
         }
         let chosen = self.choose_with_right().await;
         // What a server has shown says more than that no other is left.
-        let chosen = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
+        let (chosen, right) = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
         if !self.is_within_budget() {
             return Ok(None);
         }
         self.tried.push(chosen.server.id.clone());
         self.offers += 1;
-        Ok(Some(chosen))
+        Ok(Some((chosen, right)))
     }
 
     /// Chooses a server, and finds the right to send to it where it names a limit.
-    async fn choose_with_right(&self) -> Result<ChosenServer, RequestFailure> {
+    async fn choose_with_right(&self) -> Result<(ChosenServer, SendRight), RequestFailure> {
         for _ in 0..server_limit::MOST_ASKED {
             let chosen = self.choose()?;
-            let server = &chosen.server;
-            let needs_right = self.needs_right(server);
-            if !needs_right || self.host.find_send_right(server).await {
-                return Ok(chosen);
+            if let Some(right) = self.host.find_send_right(&chosen.server).await {
+                return Ok((chosen, right));
             }
         }
         let come_back_ms = self.usual_ms() as u64;
@@ -142,11 +141,6 @@
         Err(RequestFailure::without_server(reason, come_back_ms))
     }
 
-    fn needs_right(&self, server: &FleetServer) -> bool {
-        let limits = self.host.server_limits.table();
-        limits.rate_of(server.start_hash).is_some()
-    }
-
     fn choose(&self) -> Result<ChosenServer, RequestFailure> {
         let now = self.host.now();
         match self.draw(now) {
@@ -226,13 +220,17 @@
     async fn offer(
         &mut self,
         chosen: ChosenServer,
+        right: SendRight,
     ) -> Result<Option<AnsweredRequest>, RequestFailure> {
         let ChosenServer { server, expected } = chosen;
         let object = self.open.object;
         let known_object = object.is_none_or(|object| server.remember_object(object));
         let began = self.host.now();
-        let deadline = self.open.deadline;
-        match exchange::offer(self.host, &server, &self.open.forward, deadline).await {
+        let terms = OfferTerms {
+            deadline: self.open.deadline,
+            right,
+        };
+        match exchange::offer(self.host, &server, &self.open.forward, terms).await {
             OfferEnd::Answered(answer) => {
                 self.on_answer(&server, began, known_object);
                 self.host.on_success(self.open, &answer);
--- a/src/entry/send_gate.rs
+++ b/src/entry/send_gate.rs
@@ -13,6 +13,7 @@
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::pool::ServerSender;
+use super::server_limit::right::SendRight;
 use super::server_notice::ServerStanding;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
@@ -31,6 +32,8 @@
     ServerClosed,
     /// Its hall gets no work.
     HallEvacuated,
+    /// It names a limit, and the right to send was never asked for or is over.
+    NoRight,
 }
 
 impl WithheldCause {
@@ -39,6 +42,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::ServerClosed => "withheld: the server takes no work any more",
+            Self::NoRight => "withheld: there is no right to send to the server any more",
             Self::HallEvacuated => "withheld: its hall was evacuated",
         }
     }
@@ -49,8 +53,12 @@
     pub(super) fn obtain<W: WireProtocol>(
         host: &EntryHost<W>,
         server: &FleetServer,
+        right: SendRight,
         id: Option<&str>,
     ) -> Result<Self, WithheldCause> {
+        if !host.is_right_good(server, right) {
+            return Err(WithheldCause::NoRight);
+        }
         if host.evacuated_halls().contains(&server.hall) {
             return Err(WithheldCause::HallEvacuated);
         }
--- a/src/entry/server_limit/mod.rs
+++ b/src/entry/server_limit/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod message;
 pub mod rate;
+pub mod right;
 pub mod table;
 
 /// The longest time that a denial tells, in milliseconds: by then the limit may have changed.
--- a/src/entry/server_limit_role.rs
+++ b/src/entry/server_limit_role.rs
@@ -17,6 +17,7 @@
     LimitWord, SendRightAnswer, SendRightRequest, ServerLimitMessage,
 };
 use super::server_limit::rate::{NamedLimit, RequestRate};
+use super::server_limit::right::SendRight;
 use super::server_limit::table::{LimitChange, LimitSpell, ServerLimitTable};
 use super::server_limit::{RIGHT_LIFE_MS, UNANSWERED_MS, WORDS_PER_DATAGRAM};
 use super::wire::WireProtocol;
@@ -90,19 +91,20 @@
         self.note(event, fields);
     }
 
-    /// Finds the right to send one request to `server`; returns whether there is one, or none is needed. Where there
-    /// is none, the next choices pass the server over until one may be had.
-    pub(super) async fn find_send_right(&self, server: &FleetServer) -> bool {
+    /// Finds the right to send one request to `server`. Where there is none, the next choices pass the server over
+    /// until one may be had.
+    pub(super) async fn find_send_right(&self, server: &FleetServer) -> Option<SendRight> {
         let word = self.server_limits.table.borrow().word_of(server.start_hash);
         let Some(word) = word else {
-            return true;
+            return Some(SendRight::NotNeeded);
         };
+        let until = self.now().plus(RIGHT_LIFE_MS);
         let verdict = self.ask_for_send(server, word).await;
         let mut metrics = self.metrics.borrow_mut();
         let wait_ms = match verdict {
             Some(RightVerdict::Granted) => {
                 metrics.send_rights += 1;
-                return true;
+                return Some(SendRight::Until(until));
             }
             Some(RightVerdict::Denied { room_in_ms }) => {
                 metrics.send_rights_denied += 1;
@@ -115,7 +117,14 @@
         };
         let mut table = self.server_limits.table.borrow_mut();
         table.on_denied(server.start_hash, wait_ms, self.now());
-        false
+        None
+    }
+
+    /// Whether `right` allows to send one request to `server` now.
+    pub(super) fn is_right_good(&self, server: &FleetServer, right: SendRight) -> bool {
+        let limits = self.server_limits.table.borrow();
+        let is_limited = limits.rate_of(server.start_hash).is_some();
+        right.is_good(is_limited, self.now())
     }
 
     async fn ask_for_send(&self, server: &FleetServer, word: LimitWord) -> Option<RightVerdict> {
