A keeper gives out rights once it has met its region, not only when it is sure to know all hosts

Cause: a host that does not know for certain that it knows all others gives out no rights as the keeper. It becomes certain by a list of entries with fewer than three in each hall, by another host that is, or after 5 s if it has heard a host of each hall, else after 30 s. Keepers stand in their server's region, so that this is all that they must have met, three seconds after a start.

Evidence: one host, three entries of hosts that have ended, a server that names 2 a second: no request in 20 s before, within 4 s of the start now. Ruled out as cause: that no host chooses the server (the denied ask again when they were told to). server_limits: 5 passed.

--- a/src/entry/host_entries.rs
+++ b/src/entry/host_entries.rs
@@ -21,7 +21,7 @@
 /// which it can be silent before the others remove it.
 const OWN_ENTRY_CHECK: time::Duration = time::Duration::from_secs(1);
 
-/// A started host has met the others of its hall by then, so that no more than those whose turn it is
+/// A started host has met the others of its region by then, so that no more than those whose turn it is
 /// write an entry, in milliseconds. Old entries are good until then: hosts return to their addresses.
 const SETTLE_MS: u64 = 3_000;
 /// By then a started host has heard of all others, in milliseconds: those that start with it are told of
@@ -84,6 +84,12 @@
         now.0 >= SETTLE_MS && self.peers.borrow().keeps_entry(&self.record(), now)
     }
 
+    /// Whether this host has probably met all others of its region: it knows all hosts, or has run for as long as
+    /// that takes.
+    pub(super) fn has_met_region(&self) -> bool {
+        self.now().0 >= SETTLE_MS || self.peers.borrow().is_listed()
+    }
+
     /// Takes all hosts for known once there was time to hear of them, and a host of each hall is known.
     pub(super) fn look_for_all_hosts(&self, now: Moment) {
         if now.0 < ALL_MET_MS || self.peers.borrow().is_listed() {
--- a/src/entry/server_limit_role.rs
+++ b/src/entry/server_limit_role.rs
@@ -176,10 +176,10 @@
         peers.limit_keeper(&query, self.now())
     }
 
-    /// Gives out a right as the keeper. A host that does not know the others yet is none: it might take itself for the
-    /// keeper of every server.
+    /// Gives out a right as the keeper. A host that has not met the others of its region is none: it might take itself
+    /// for the keeper of every server.
     fn grant_send(&self, server: &FleetServer) -> RightVerdict {
-        if !self.peers.borrow().is_listed() {
+        if !self.has_met_region() {
             return RightVerdict::NotHere;
         }
         let mut table = self.server_limits.table.borrow_mut();
