A long request from before a rest does not keep a server out after it

Found by reading the change: after a rest one request at a time was allowed while the host had any in flight at the server, also one sent before the rest. A large answer that is still streamed would have kept the server without work for as long.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -189,7 +189,6 @@
 fn fits(query: &ChoiceQuery<'_>, server: &FleetServer, standing: ServerStanding) -> bool {
     standing_for(query, server) == standing
         && query.limits.is_open(server.start_hash, query.now)
-        && !server.is_tried_after_rest(query.now)
         && fits_later(query, server)
 }
 
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -146,13 +146,6 @@
         }
     }
 
-    /// Whether it works off the request that shows whether it works again after a rest.
-    #[must_use]
-    pub fn is_tried_after_rest(&self, now: Moment) -> bool {
-        let view = self.view.borrow();
-        view.in_flight > 0 && view.notice.is_on_trial(now)
-    }
-
     /// What it has told this host of its own intent.
     #[must_use]
     pub fn notice(&self) -> ServerNotice {
--- a/src/entry/send_gate.rs
+++ b/src/entry/send_gate.rs
@@ -68,6 +68,8 @@
             ServerStanding::LastResort => note_last_resort(host, server, id),
             ServerStanding::Regular => {}
         }
+        let now = host.now();
+        server.change_notice(|notice| notice.on_sent(now));
         Ok(Self(()))
     }
 
--- a/src/entry/server_notice.rs
+++ b/src/entry/server_notice.rs
@@ -6,6 +6,9 @@
 /// takes; the rest covers the way there and the work.
 const LAST_RESORT_SHARE: f64 = 0.5;
 
+/// A server that has rested is tried again after this time, in milliseconds, if the request before has brought no answer.
+const TRIAL_GAP_MS: u64 = 1_000;
+
 /// Whether a server may get new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerStanding {
@@ -22,6 +25,8 @@
 pub struct ServerNotice {
     leaving_since: Option<Moment>,
     rest_until: Option<Moment>,
+    /// When a request was last sent to show whether its rest is over.
+    tried_at: Option<Moment>,
     /// Whether it said something that could not be understood.
     unreadable: bool,
 }
@@ -41,6 +46,7 @@
     pub fn on_rest(&mut self, until: Moment, now: Moment) -> bool {
         let is_new = !self.is_resting(now);
         self.rest_until = self.rest_until.max(Some(until));
+        self.tried_at = None;
         is_new
     }
 
@@ -73,10 +79,25 @@
         self.rest_until.is_some_and(|until| until <= now)
     }
 
+    /// A request is sent to it: if its rest is over, this one shows whether it works again.
+    pub fn on_sent(&mut self, now: Moment) {
+        if self.is_on_trial(now) {
+            self.tried_at = Some(now);
+        }
+    }
+
+    /// Whether a request is on its way that shows whether it works again.
+    #[must_use]
+    pub fn is_being_tried(&self, now: Moment) -> bool {
+        let is_lately = |tried| now.since(tried) < TRIAL_GAP_MS;
+        self.is_on_trial(now) && self.tried_at.is_some_and(is_lately)
+    }
+
     /// It answered a request.
     pub fn on_served(&mut self, now: Moment) {
         if self.is_on_trial(now) {
             self.rest_until = None;
+            self.tried_at = None;
         }
     }
 
@@ -92,7 +113,7 @@
     /// ```
     #[must_use]
     pub fn standing(&self, leave_ms: u64, now: Moment) -> ServerStanding {
-        if self.is_resting(now) {
+        if self.is_resting(now) || self.is_being_tried(now) {
             return ServerStanding::Closed;
         }
         let last_resort_ms = leave_ms as f64 * LAST_RESORT_SHARE;
--- a/tests/entry_server_notice.rs
+++ b/tests/entry_server_notice.rs
@@ -187,14 +187,31 @@
     let fleet = fleet_of(&["a", "b"]);
     let rested = server(&fleet, "a");
     rest(rested, 0, 3_000);
-    rested.begin();
+    rested.change_notice(|notice| notice.on_sent(Moment(3_000)));
     assert_eq!(offered(&fleet, &[], 3_100), ids(&["b"]));
-    rested.end();
     rested.on_success(Moment(3_200));
-    rested.begin();
+    rested.change_notice(|notice| notice.on_sent(Moment(3_250)));
     assert_eq!(offered(&fleet, &[], 3_300), ids(&["a", "b"]));
 }
 
+#[test]
+fn a_server_that_has_rested_is_tried_again_when_the_trial_brings_no_answer() {
+    let fleet = fleet_of(&["a", "b"]);
+    rest(server(&fleet, "a"), 0, 3_000);
+    server(&fleet, "a").change_notice(|notice| notice.on_sent(Moment(3_000)));
+    assert_eq!(offered(&fleet, &[], 3_999), ids(&["b"]));
+    assert_eq!(offered(&fleet, &[], 4_000), ids(&["a", "b"]));
+}
+
+/// A large answer may take longer than any rest.
+#[test]
+fn a_request_from_before_a_rest_does_not_keep_others_away_after_it() {
+    let fleet = fleet_of(&["a", "b"]);
+    server(&fleet, "a").begin();
+    rest(server(&fleet, "a"), 0, 3_000);
+    assert_eq!(offered(&fleet, &[], 3_100), ids(&["a", "b"]));
+}
+
 #[test]
 fn a_request_that_was_turned_away_is_no_trial_of_a_server_that_has_rested() {
     let fleet = fleet_of(&["a", "b", "c"]);
