A word or a part of a configuration that is not known costs only the requests that need it

Its configuration was refused whole (EV2002, "unknown variant upload"), so hosts had none: look-ups failed and every request of every service was refused.

Cause: the type of a route was a closed list of words, and one entry that could not be read failed the whole document, for routes, services and customers alike.

Ruled out: the store, which takes only valid documents, and keys, which were read.

Now: `upload` is a type of its own that runs once at most and, as downloads, stays in its region where it can. A type that is not known runs once at most. A route that cannot be read keeps its place and its requests are refused as not run (503), not taken for unknown (404). A service that cannot be read hides no other. Where a customer cannot be read an unknown key is refused as not run, not as wrong (401), and the line names its place only: the reader's words may quote a key.

Why this works: what is left of the document is what the operator wrote, and each way in which a part may be missing ends in a refusal that is true.

--- a/src/entry/configuration.rs
+++ b/src/entry/configuration.rs
@@ -20,6 +20,44 @@
     pub limits: CallerLimits,
     /// Who may ask. `None` where nobody is asked who they are; then no request needs a key.
     pub customers: Option<Vec<rc::Rc<CustomerRule>>>,
+    /// Whether some customers could not be read, so that an unknown key may be one of theirs.
+    pub has_unread_customers: bool,
+    /// What could not be read as it stands; known to the host that read it only.
+    #[serde(skip)]
+    pub faults: Vec<ConfigurationFault>,
+}
+
+/// A part of a configuration that could not be read as it stands. The other parts hold.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ConfigurationFault {
+    /// Its requests are taken for such that may run once at most.
+    #[error("route {route:?}: the type {word:?} is not known; its requests run once at most")]
+    UnknownKind {
+        /// The route's name.
+        route: String,
+        /// What stands there.
+        word: String,
+    },
+    /// Its requests are refused, if it tells which ones they are.
+    #[error("route {route:?} cannot be read, and its requests are refused: {reason}")]
+    UnreadableRoute {
+        /// The route's name; empty if that cannot be read either.
+        route: String,
+        /// What is wrong.
+        reason: String,
+    },
+    /// Servers of the service get no work while they are cold.
+    #[error("a service cannot be read: {reason}")]
+    UnreadableService {
+        /// What is wrong.
+        reason: String,
+    },
+    /// Requests with an unknown key are refused as not run, since it may be this customer's.
+    #[error("customer number {place} cannot be read")]
+    UnreadableCustomer {
+        /// Its place in the list, from 0.
+        place: usize,
+    },
 }
 
 /// What a route's requests may suffer.
@@ -31,6 +69,8 @@
     Once,
     /// Repeatable, with a large answer.
     Download,
+    /// May run once at most, with a large body.
+    Upload,
 }
 
 impl RequestKind {
@@ -40,10 +80,23 @@
     /// use ledgespool::entry::configuration::RequestKind;
     /// assert!(RequestKind::Download.may_repeat());
     /// assert!(!RequestKind::Once.may_repeat());
+    /// assert!(!RequestKind::Upload.may_repeat());
     /// ```
     #[must_use]
     pub const fn may_repeat(self) -> bool {
-        !matches!(self, Self::Once)
+        matches!(self, Self::Repeatable | Self::Download)
+    }
+
+    /// Whether its bytes make distance dear, so that servers of other regions come last.
+    ///
+    /// ```
+    /// use ledgespool::entry::configuration::RequestKind;
+    /// assert!(RequestKind::Upload.stays_near());
+    /// assert!(!RequestKind::Once.stays_near());
+    /// ```
+    #[must_use]
+    pub const fn stays_near(self) -> bool {
+        matches!(self, Self::Download | Self::Upload)
     }
 }
 
@@ -188,6 +241,26 @@
 }
 
 impl RouteRule {
+    /// A route whose requests no service can take.
+    #[must_use]
+    pub const fn without_service(name: String, host: String, prefix: String) -> Self {
+        Self {
+            name,
+            host,
+            prefix,
+            kind: RequestKind::Once,
+            timeout_ms: 0,
+            goal_ms: 0,
+            priority: 0,
+            attempts: 1,
+            sticky: false,
+            shares: Vec::new(),
+            homes: Vec::new(),
+            // Nobody is asked for a key: the refusal is the same for all.
+            public: true,
+        }
+    }
+
     /// The service at `point`, a number from 0 up to 1, when the shares are laid end to end.
     ///
     /// `None` when the route names no service.
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -191,12 +191,23 @@
             "source": source,
         });
         let table = RouteTable::from_configuration(configuration.clone());
+        self.note_faults(configuration);
         self.note_customer_faults(&table);
         *self.routes.borrow_mut() = Some(rc::Rc::new(table));
         self.note(EventCode::ConfigInstalled, fields);
         self.on_learned(source);
     }
 
+    fn note_faults(&self, configuration: &ServiceConfiguration) {
+        for fault in &configuration.faults {
+            let fields = json!({
+                "version": configuration.version,
+                "fault": fault.to_string(),
+            });
+            self.note(EventCode::ConfigPartUnread, fields);
+        }
+    }
+
     fn note_customer_faults(&self, table: &RouteTable) {
         let faults = table.customers().map_or(&[][..], CustomerTable::faults);
         for fault in faults {
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -6,7 +6,6 @@
 use serde_json::json;
 
 use super::choice::{self, ChoiceQuery, ChosenServer, NoServer, ServerChoice};
-use super::configuration::RequestKind;
 use super::exchange::{self, LossCause, OfferEnd, OfferTerms, ServerAnswer};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
@@ -184,7 +183,7 @@
             homes: &open.homes,
             evacuated: &evacuated,
             tried: &self.tried,
-            near: route.kind == RequestKind::Download,
+            near: route.kind.stays_near(),
             usual_ms: self.usual_ms(),
             first_ms: self.first_ms(),
             patience_ms: goal_left_ms as f64,
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -138,6 +138,9 @@
     let failure = match key {
         CallerKey::Given(key) => match customers.holder_of(key) {
             Some(customer) => return Ok(Some(rc::Rc::clone(customer))),
+            None if routes.configuration().has_unread_customers => {
+                RequestFailure::key_undecided(key)
+            }
             None => RequestFailure::key_unknown(key),
         },
         CallerKey::Missing => RequestFailure::KEY_MISSING,
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -13,7 +13,7 @@
 
 /// The number of the format. Hosts pass over messages of another one, so that two versions of the
 /// program can run side by side while it is replaced.
-const FORMAT: u8 = 8;
+const FORMAT: u8 = 9;
 
 /// Why a message of another host could not be understood.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -172,6 +172,19 @@
         }
     }
 
+    /// No customer that could be read holds its key.
+    pub(super) const fn key_undecided(key: KeyDigest) -> Self {
+        let failure = Self::refused(
+            RequestEnd::RefusedUnconfigured,
+            NO_CONFIGURATION_MS,
+            "a key that may be of a customer who could not be read",
+        );
+        Self {
+            key: Some(key),
+            ..failure
+        }
+    }
+
     /// Its customer's limit leaves no room.
     pub(super) const fn over_limit(come_back_ms: u64, trace: LimitTrace) -> Self {
         Self {
--- a/src/event.rs
+++ b/src/event.rs
@@ -61,6 +61,7 @@
     ChangeRefused = 2004, Warn, "An operator's change was refused.";
     TokenRefused = 2005, Warn, "A call without a valid token was refused.";
     DrainFinished = 2006, Info, "Nothing runs any more on what is drained, as this host sees it.";
+    ConfigPartUnread = 2007, Error, "A part of a configuration could not be read as it stands; the other parts hold.";
 
     MemberJoined = 3001, Info, "A host or a new run of it was met.";
     MemberSuspected = 3002, Warn, "A host missed heartbeats.";
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -62,6 +62,8 @@
             idle_ms: 1,
         },
         customers: None,
+        has_unread_customers: false,
+        faults: Vec::new(),
     })
 }
 
