Roll-outs: traffic of a service moves to another version, and back if that is bad

Nothing read it: servers of the new version got their full part of the requests from their first second on, good or bad, and no state was recorded.

Now (src/rollout, decisions only; entry::rollout_role joins them to sockets, clock and store): a small part of requests goes to the new version, each host reports how they ended, the first watcher of each region decides, regions exchange their sums, and the store records running, complete or reverted. The kind is watched only where the settings name what a bad version may get.

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -299,6 +299,7 @@
         let halls = snapshot.evacuated.iter().cloned().collect();
         host.on_evacuation_list(halls, snapshot.evacuation_revision);
     }
+    host.on_rollout_news(&snapshot.rollouts);
     if let Some(suspects) = &snapshot.suspects {
         host.on_suspects_told(suspects, &source);
         host.quarantine.on_read();
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -23,6 +23,7 @@
 use super::region_shares::RegionWeights;
 use super::server_limit::table::ServerLimitTable;
 use super::server_notice::ServerStanding;
+use crate::rollout::plan::VersionRule;
 use crate::timer::Moment;
 
 /// Places in an object's rank that go by the weights of the regions: its requests run there as long
@@ -67,7 +68,9 @@
     pub evacuated: &'a collections::BTreeSet<String>,
     /// Identities of servers that it was offered to before.
     pub tried: &'a [String],
-    /// Whether its answer is large, so that distance is dear.
+    /// The versions whose servers may get it.
+    pub versions: VersionRule,
+    /// Whether its bytes make distance dear.
     pub near: bool,
     /// How long such a request usually takes, in milliseconds.
     pub usual_ms: f64,
@@ -206,7 +209,8 @@
 
 /// Whether it may get the request once its limit and its rest let it.
 pub(super) fn fits_later(query: &ChoiceQuery<'_>, server: &FleetServer) -> bool {
-    !query.evacuated.contains(&server.hall)
+    query.versions.allows(server.version)
+        && !query.evacuated.contains(&server.hall)
         && (query.homes.is_empty() || query.homes.contains(&server.region))
         && !query.tried.contains(&server.id)
         && !server.is_ejected(query.now)
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -6,6 +6,7 @@
 use super::hash;
 use super::server::{ServerLoad, ServerRecord, ServerState};
 use super::server_notice::{ServerNotice, ServerStanding};
+use crate::rollout::order::VersionTag;
 use crate::timer::Moment;
 
 /// What other hosts had running when a server told its load counts for less with age; after this
@@ -97,6 +98,8 @@
     pub hall: String,
     /// The region of that hall.
     pub region: String,
+    /// The version of its software.
+    pub version: VersionTag,
     /// Requests that it works on at a time.
     pub slots: u32,
     /// A hash of the identity, for ranking.
@@ -115,6 +118,7 @@
             address: record.address,
             hall: record.hall.clone(),
             region: region.to_owned(),
+            version: record.version,
             slots: record.slots.max(1),
             hash,
             start_hash: hash::mix(hash ^ record.born.unwrap_or(0)),
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -53,7 +53,9 @@
 
 /// Starts the tasks that follow the store.
 pub fn spawn<W: WireProtocol, S: ObjectStore>(host: &rc::Rc<EntryHost<W>>, store: &rc::Rc<S>) {
-    for kind in ObjectKind::WATCHED {
+    let may_order = host.settings().bounds.canary_share.is_some();
+    let is_followed = |kind: &ObjectKind| may_order || *kind != ObjectKind::Rollouts;
+    for kind in ObjectKind::WATCHED.into_iter().filter(is_followed) {
         let follower = KindFollower {
             host: rc::Rc::clone(host),
             store: rc::Rc::clone(store),
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -239,6 +239,12 @@
                 server_limit_role::on_message(&host, message, source);
             }
             Ok(PeerMessage::Leaving(servers)) => host.on_leaving_told(&servers, "peer"),
+            Ok(PeerMessage::RolloutReport(report)) => {
+                host.rollouts.on_host_report(report, host.now())
+            }
+            Ok(PeerMessage::RegionRollout(report)) => {
+                host.rollouts.on_region_report(report, host.now());
+            }
             Err(fault) => host.note_malformed(&source.to_string(), &fault),
         }
     }
@@ -280,6 +286,7 @@
     }
     host.on_limit_words(&heartbeat.server_limits, Some(source));
     host.on_leaving_told(&heartbeat.leaving_servers, &heartbeat.host);
+    host.on_rollout_news(&heartbeat.rollouts);
     if heartbeat.ready && !heartbeat.leaving {
         join_asking::on_ready_heard(host, heartbeat);
     }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -30,6 +30,7 @@
 use super::quarantine_role::QuarantineRole;
 use super::region_distance::RegionDistances;
 use super::region_shares::WeightCache;
+use super::rollout_role::RolloutRole;
 use super::route_times::RouteTimeTable;
 use super::server_limit_role::ServerLimitRole;
 use super::settings::EntrySettings;
@@ -89,6 +90,7 @@
     pub(super) quarantine: QuarantineRole,
     pub(super) server_limits: ServerLimitRole,
     pub(super) leaving_news: LeavingNews,
+    pub(super) rollouts: RolloutRole,
     /// The store's era, as this host or another has seen it.
     pub(super) store_era: cell::Cell<u64>,
 }
@@ -135,6 +137,7 @@
             quarantine: QuarantineRole::default(),
             server_limits: ServerLimitRole::default(),
             leaving_news: LeavingNews::default(),
+            rollouts: RolloutRole::default(),
             store_era: cell::Cell::new(0),
         }
     }
@@ -281,6 +284,7 @@
         self.on_limit_tick();
         self.on_leaving_tick();
         self.on_evacuation_tick();
+        self.on_rollout_tick();
         join::spread_met(self);
         self.log.flush();
     }
--- a/src/entry/join.rs
+++ b/src/entry/join.rs
@@ -87,6 +87,7 @@
     configuration_version: u64,
     fleet_revision: u64,
     evacuation_revision: u64,
+    rollout_position: u64,
     quarantine: QuarantineDigest,
 }
 
@@ -169,6 +170,7 @@
             configuration_version: self.configuration_version(),
             fleet_revision: self.fleet.borrow().revision(),
             evacuation_revision: self.evacuation_revision(),
+            rollout_position: self.rollouts.position(),
             quarantine: self.quarantine.digest(),
         }
     }
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -9,7 +9,9 @@
 use super::settings::{self, EntrySettings};
 use super::store::ObjectStore;
 use super::wire::WireProtocol;
-use super::{follow, gossip, host_entries, join_asking, limit_role, listen, quarantine_role};
+use super::{
+    follow, gossip, host_entries, join_asking, limit_role, listen, quarantine_role, rollout_role,
+};
 use crate::error;
 use crate::event::EventCode;
 
@@ -49,6 +51,7 @@
     follow::spawn(&host, &store);
     host_entries::spawn(&host, &store);
     quarantine_role::spawn(&host, &store);
+    rollout_role::spawn(&host, &store);
     look_after(&host, &store, file, signals).await;
     host.note(
         EventCode::ProcessStopped,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -70,6 +70,7 @@
 pub mod region_shares;
 pub mod request;
 mod request_failure;
+pub mod rollout_role;
 pub mod route_times;
 pub mod self_report;
 mod send_gate;
--- a/src/entry/offers.rs
+++ b/src/entry/offers.rs
@@ -13,11 +13,14 @@
 use super::open_request::OpenRequest;
 use super::quarantine_role::{self, SuspectAdmission};
 use super::request_failure::RequestFailure;
+use super::rollout_role;
 use super::route_times::AnswerSample;
 use super::server_limit;
 use super::server_limit::right::SendRight;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::rollout::plan::VersionRule;
+use crate::rollout::table::RolloutAnswer;
 use crate::timer::Moment;
 
 /// A request that was not sent for want of a connection may be offered to this many servers.
@@ -142,7 +145,17 @@
 
     fn choose(&self) -> Result<ChosenServer, RequestFailure> {
         let now = self.host.now();
-        match self.draw(now) {
+        let open = self.open;
+        let is_repeat = self.sent > 0;
+        let versions = self
+            .host
+            .version_rule(&open.service, open.object, is_repeat);
+        let mut choice = self.draw(versions, now);
+        if let (ServerChoice::Refuse { .. }, VersionRule::Only(version)) = (&choice, versions) {
+            // The new version has no room yet, or no server any more.
+            choice = self.draw(VersionRule::Except(version), now);
+        }
+        match choice {
             ServerChoice::Offer(chosen) => {
                 if chosen.server.is_cold(now) {
                     chosen.server.on_cold_send(now);
@@ -163,7 +176,7 @@
         }
     }
 
-    fn draw(&self, now: Moment) -> ServerChoice {
+    fn draw(&self, versions: VersionRule, now: Moment) -> ServerChoice {
         let host = self.host;
         let open = self.open;
         let route = &open.route;
@@ -183,6 +196,7 @@
             homes: &open.homes,
             evacuated: &evacuated,
             tried: &self.tried,
+            versions,
             near: route.kind.stays_near(),
             usual_ms: self.usual_ms(),
             first_ms: self.first_ms(),
@@ -229,7 +243,9 @@
             deadline: self.open.deadline,
             right,
         };
-        match exchange::offer(self.host, &server, &self.open.forward, terms).await {
+        let end = exchange::offer(self.host, &server, &self.open.forward, terms).await;
+        self.count_for_rollout(&server, &end, began, known_object);
+        match end {
             OfferEnd::Answered(answer) => {
                 self.on_answer(&server, began, known_object);
                 self.host.on_success(self.open, &answer);
@@ -255,6 +271,39 @@
         Ok(None)
     }
 
+    /// Tells how it ended to the roll-out that the server's service may be in.
+    fn count_for_rollout(
+        &self,
+        server: &FleetServer,
+        end: &OfferEnd,
+        began: Moment,
+        known_object: bool,
+    ) {
+        let now = self.host.now();
+        let expected_ms = if known_object {
+            self.usual_ms()
+        } else {
+            self.first_ms()
+        };
+        let is_slow = !server.is_cold(now)
+            && now.since(began) as f64 > expected_ms * rollout_role::SLOW_FACTOR;
+        let is_bad = match end {
+            OfferEnd::Answered(answer) => answer.head.status.is_server_error() || is_slow,
+            OfferEnd::TimedOut | OfferEnd::Lost(_) => true,
+            OfferEnd::NotSent
+            | OfferEnd::Withheld(_)
+            | OfferEnd::OutOfTime
+            | OfferEnd::NotRun { .. }
+            | OfferEnd::OtherServer => return,
+        };
+        let answer = RolloutAnswer {
+            route: &self.open.route.name,
+            version: server.version,
+            is_bad,
+        };
+        self.host.rollouts.on_answer(&server.service, &answer);
+    }
+
     fn on_timeout(
         &self,
         server: &FleetServer,
--- a/src/entry/packed_servers.rs
+++ b/src/entry/packed_servers.rs
@@ -4,6 +4,7 @@
 //! names of services and halls, which most servers share, are written once.
 
 use super::server::{ServerObject, ServerRecord, ServerState};
+use crate::rollout::order::VersionTag;
 
 /// The servers of a list; names are given by their places.
 #[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
@@ -19,6 +20,7 @@
     service: u32,
     address: std::net::SocketAddr,
     hall: u32,
+    version: VersionTag,
     slots: u32,
     state: ServerState,
     cold_ms: u64,
@@ -42,6 +44,7 @@
                 id: record.id,
                 born: record.born,
                 address: record.address,
+                version: record.version,
                 slots: record.slots,
                 state: record.state,
                 cold_ms: record.cold_ms,
@@ -62,6 +65,7 @@
                 service: self.name_at(server.service)?,
                 address: server.address,
                 hall: self.name_at(server.hall)?,
+                version: server.version,
                 slots: server.slots,
                 state: server.state,
                 cold_ms: server.cold_ms,
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -10,6 +10,7 @@
 use super::quarantine::message::{QuarantineDigest, QuarantineMessage, SuspectRecord};
 use super::server::ServerObject;
 use super::server_limit::message::{LimitWord, ServerLimitMessage};
+use crate::rollout::table::{RolloutNews, RolloutReport};
 
 /// The number of the format. Hosts pass over messages of another one, so that two versions of the
 /// program can run side by side while it is replaced.
@@ -85,6 +86,10 @@
     ServerLimit(ServerLimitMessage),
     /// Servers that say that they leave, by the hashes of identity and start.
     Leaving(Vec<u64>),
+    /// What a host of this region has counted since an order to move a service's traffic.
+    RolloutReport(RolloutReport),
+    /// What another region has counted.
+    RegionRollout(RolloutReport),
 }
 
 /// What a host tells the others at regular times.
@@ -116,6 +121,8 @@
     pub server_limits: Vec<LimitWord>,
     /// Some of the servers that say that they leave and of which the store does not tell yet, all in turn.
     pub leaving_servers: Vec<u64>,
+    /// The orders to move a service's traffic.
+    pub rollouts: RolloutNews,
     /// How many hosts it knows, itself included: one that knows fewer asks.
     pub known_hosts: u32,
     /// How many of them stand in its region.
@@ -255,6 +262,8 @@
     pub suspects: Option<Vec<SuspectRecord>>,
     /// How many hosts each region has, as far as this one knows.
     pub region_sizes: Vec<RegionSize>,
+    /// The orders to move a service's traffic.
+    pub rollouts: RolloutNews,
 }
 
 /// How many entry hosts a region has.
--- a/src/entry/peers/watchers.rs
+++ b/src/entry/peers/watchers.rs
@@ -4,9 +4,9 @@
 //! they see. All hosts put themselves into one order, and who comes first is a watcher: nobody is
 //! elected, and when one falls silent or loses the store the next takes over by itself.
 
-use std::cmp;
+use std::{cmp, collections};
 
-use super::{HostRecord, PeerTable};
+use super::{HostRecord, PeerTable, REMOVE_MS};
 use crate::entry::hash;
 use crate::entry::peer_message::WatchState;
 use crate::timer::Moment;
@@ -39,10 +39,29 @@
     /// Whether `own` comes before all hosts of its region that live: it clears up for them.
     #[must_use]
     pub fn is_first_watcher(&self, own: &HostRecord, now: Moment) -> bool {
+        self.first_watcher(own, now).is_none()
+    }
+
+    /// The first host of the region of `own` that lives; `None` if that is `own`.
+    #[must_use]
+    pub fn first_watcher(&self, own: &HostRecord, now: Moment) -> Option<&HostRecord> {
         let silent_ms = self.silent_ms(&own.region);
-        !self
-            .near(&own.region)
-            .any(|peer| peer.record.watch_order() < own.watch_order() && peer.stays(now, silent_ms))
+        let before = self.peers.values().filter(|peer| {
+            peer.record.region == own.region
+                && peer.record.watch_order() < own.watch_order()
+                && peer.stays(now, silent_ms)
+        });
+        let records = before.map(|peer| &peer.record);
+        records.min_by_key(|record| record.watch_order())
+    }
+
+    /// The regions of which a host has lately been heard, but for `region`.
+    #[must_use]
+    pub fn other_live_regions(&self, region: &str, now: Moment) -> collections::BTreeSet<&str> {
+        let live = self.peers.values().filter(|peer| {
+            peer.record.region != region && peer.is_heard(now, REMOVE_MS) && !peer.leaving
+        });
+        live.map(|peer| peer.record.region.as_str()).collect()
     }
 }
 
--- a/src/entry/quarantine_role/store.rs
+++ b/src/entry/quarantine_role/store.rs
@@ -98,6 +98,7 @@
             ObjectContent::Configuration(_)
             | ObjectContent::Server(_)
             | ObjectContent::Evacuation
+            | ObjectContent::Rollout(_)
             | ObjectContent::Host(_) => note_unreadable(host, object, "another kind of object"),
         }
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -2,6 +2,8 @@
 
 use std::{cmp, net};
 
+use crate::rollout::order::VersionTag;
+
 /// Whether a server takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum ServerState {
@@ -24,6 +26,8 @@
     pub address: net::SocketAddr,
     /// The hall that it stands in.
     pub hall: String,
+    /// The version of its software.
+    pub version: VersionTag,
     /// Requests that it works on at a time.
     pub slots: u32,
     /// Whether it takes new work.
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -128,6 +128,9 @@
     pub limit_excess: f64,
     /// And this many requests in a window beside.
     pub limit_slack: f64,
+    /// Of a service's requests, the part that a bad version may get while traffic is moved to it. `None` where the
+    /// platform orders no such moves.
+    pub canary_share: Option<f64>,
 }
 
 impl SharedBounds {
@@ -219,6 +222,7 @@
         limit_slack: reader
             .optional_number("limit_slack", 0.0..=1e9)
             .unwrap_or(0.0),
+        canary_share: reader.optional_share("canary_share"),
     }
 }
 
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -4,6 +4,7 @@
 use super::peers::HostRecord;
 use super::quarantine::stored::StoredSuspect;
 use super::server::{ServerObject, ServerRecord};
+use crate::rollout::order::{RolloutRecord, StoredRollout};
 
 /// The kinds of object that an entry host follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -14,6 +15,8 @@
     Servers,
     /// The halls that are to be emptied.
     Evacuations,
+    /// Services whose traffic is to move to another version.
+    Rollouts,
     /// The entry hosts; written by themselves.
     Hosts,
     /// The requests that are kept from servers; written by entry hosts, and read at their start only.
@@ -22,19 +25,21 @@
 
 impl ObjectKind {
     /// All kinds.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Configuration,
         Self::Servers,
         Self::Evacuations,
+        Self::Rollouts,
         Self::Hosts,
         Self::Quarantine,
     ];
 
     /// The kinds that are watched.
-    pub const WATCHED: [Self; 4] = [
+    pub const WATCHED: [Self; 5] = [
         Self::Configuration,
         Self::Servers,
         Self::Evacuations,
+        Self::Rollouts,
         Self::Hosts,
     ];
 
@@ -45,6 +50,7 @@
             Self::Configuration => "configuration",
             Self::Servers => "servers",
             Self::Evacuations => "evacuations",
+            Self::Rollouts => "rollouts",
             Self::Hosts => "hosts",
             Self::Quarantine => "quarantine",
         }
@@ -60,6 +66,8 @@
     Server(ServerRecord),
     /// The object's name is a hall that gets no work.
     Evacuation,
+    /// An order to move a service's traffic to another version.
+    Rollout(StoredRollout),
     /// One run of an entry host.
     Host(HostRecord),
     /// A request that is kept from servers.
@@ -185,6 +193,10 @@
     /// count at the change.
     async fn replace_host(&self, record: &HostRecord, revision: u64) -> StoreResult<u64>;
 
+    /// Records how far an order to move a service's traffic has come, if its object still stands where the record
+    /// says; returns the store's count at the change.
+    async fn record_rollout(&self, record: &RolloutRecord) -> StoreResult<u64>;
+
     /// Makes the object of a barred request; `Conflict` when it is there.
     async fn create_suspect(&self, suspect: &StoredSuspect) -> StoreResult<()>;
 
--- a/src/entry/store_news.rs
+++ b/src/entry/store_news.rs
@@ -32,6 +32,7 @@
             let halls = objects.iter().map(|object| object.name.clone()).collect();
             host.on_evacuation_list(halls, revision);
         }
+        ObjectKind::Rollouts => host.on_rollout_list(objects, revision),
         ObjectKind::Hosts => {
             let records = objects.iter().filter_map(|object| match &object.content {
                 ObjectContent::Host(record) => Some(record.clone()),
@@ -82,6 +83,7 @@
             }
             gossip::announce(host);
         }
+        ObjectKind::Rollouts => host.on_rollout_changes(batch),
         ObjectKind::Hosts => on_hosts(host, batch),
         ObjectKind::Quarantine => {}
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -101,6 +101,7 @@
     ServerSaysLeaving = 5023, Info, "A backend server says in its answers that it leaves.";
     ServerRests = 5024, Warn, "A backend server turned a request away and wants none from this host for a while.";
     SentToLeaving = 5025, Info, "A request was sent to a backend server that leaves, since no other may serve it.";
+    RolloutChanged = 5026, Info, "The traffic of a service moves on to another version, has moved, or is taken back from it.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
@@ -111,6 +112,7 @@
     QuarantineNotStored = 6007, Warn, "What is known of a barred request could not be written to the store, or read there; it is tried again.";
     StoreEraBegan = 6008, Warn, "The store has come back from an older copy; what was written since that copy may be lost.";
     StoreEraUnreadable = 6009, Warn, "The store tells its era in a form that cannot be understood; it is passed over.";
+    RolloutNotRecorded = 6010, Warn, "How far the traffic of a service has moved to another version could not be recorded in the store; it is tried again.";
 }
 
 impl EventCode {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod result_code;
 pub mod retry;
 pub mod ring;
+pub mod rollout;
 pub mod roster;
 pub mod rpc;
 pub mod rpc_client;
--- /dev/null
+++ b/src/rollout/table.rs
@@ -0,0 +1,454 @@
+//! The orders that a host knows, and how far each has come.
+
+use std::collections;
+
+use super::order::{RolloutOrder, RolloutRecord, RolloutState, StoredRollout};
+use super::plan::{LAST_CALL, PROVED_FOR, RolloutStep, VersionRule};
+use super::tally::ServiceTally;
+use crate::timer::Moment;
+
+/// What a host or region has reported counts as present for this long, in milliseconds.
+const REPORT_VALID_MS: u64 = 2_000;
+
+/// How far an order has come, as hosts tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RolloutProgress {
+    /// The order.
+    pub order: RolloutOrder,
+    /// The store's position at the object's last change.
+    pub revision: u64,
+    /// How long ago the order was first seen, in milliseconds.
+    pub age_ms: u64,
+    /// How far the traffic has moved.
+    pub step: RolloutStep,
+    /// What has been decided.
+    pub state: RolloutState,
+}
+
+/// All orders, as hosts tell each other.
+#[derive(Debug, Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct RolloutNews {
+    /// The store's position up to which the orders are current; 0 where none were ever read.
+    pub position: u64,
+    /// The orders.
+    pub orders: Vec<RolloutProgress>,
+}
+
+/// What a host counts, or a region's hosts together, since an order.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RolloutReport {
+    /// Who counts: a hash of the host's name, or of the region's.
+    pub source: u64,
+    /// The order's service.
+    pub service: String,
+    /// When the order was made.
+    pub created: u64,
+    /// How the requests ended.
+    pub tally: ServiceTally,
+    /// Requests that are under way on servers of other versions.
+    pub others_open: u32,
+    /// How far the traffic of the region has moved.
+    pub step: RolloutStep,
+}
+
+/// What must be done for an order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutChange {
+    /// The order.
+    pub order: RolloutOrder,
+    /// How far the traffic moves.
+    pub step: RolloutStep,
+    /// What is decided.
+    pub state: RolloutState,
+}
+
+#[derive(Debug)]
+struct TimedReport {
+    report: RolloutReport,
+    at: Moment,
+}
+
+/// Reports by who counts.
+#[derive(Debug, Default)]
+struct ReportList {
+    reports: collections::HashMap<u64, TimedReport>,
+}
+
+impl ReportList {
+    /// A host that starts anew counts from nothing; what it had counted is lost with it.
+    fn put(&mut self, report: RolloutReport, now: Moment) {
+        self.reports
+            .insert(report.source, TimedReport { report, at: now });
+    }
+
+    fn tally(&self) -> ServiceTally {
+        let mut tally = ServiceTally::default();
+        for timed in self.reports.values() {
+            tally.add(&timed.report.tally);
+        }
+        tally
+    }
+
+    fn present(&self, now: Moment) -> impl Iterator<Item = &RolloutReport> {
+        let timed = self.reports.values();
+        let present = timed.filter(move |timed| now.since(timed.at) <= REPORT_VALID_MS);
+        present.map(|timed| &timed.report)
+    }
+}
+
+#[derive(Debug)]
+struct OpenRollout {
+    order: RolloutOrder,
+    revision: u64,
+    began: Moment,
+    step: RolloutStep,
+    /// Since when all traffic goes to the new version.
+    all_since: Option<Moment>,
+    state: RolloutState,
+    /// When that was decided, or heard.
+    state_since: Moment,
+    stored: Option<RolloutState>,
+    own: ServiceTally,
+    hosts: ReportList,
+    regions: ReportList,
+}
+
+impl OpenRollout {
+    fn new(stored: StoredRollout, revision: u64, began: Moment, now: Moment) -> Self {
+        let state = stored.state.unwrap_or(RolloutState::Running);
+        Self {
+            order: stored.order,
+            revision,
+            began,
+            step: RolloutStep::default(),
+            all_since: None,
+            state,
+            state_since: now,
+            stored: stored.state,
+            own: ServiceTally::default(),
+            hosts: ReportList::default(),
+            regions: ReportList::default(),
+        }
+    }
+
+    /// Takes in what is known elsewhere; returns whether it is news. What is decided stays so, and what the store
+    /// records is final.
+    fn advance(&mut self, step: RolloutStep, state: RolloutState, now: Moment) -> bool {
+        if self.stored.is_some_and(RolloutState::is_final) {
+            return false;
+        }
+        let is_news = step > self.step || state > self.state;
+        if step > self.step {
+            self.step = step;
+        }
+        if self.step == RolloutStep::All {
+            self.all_since.get_or_insert(now);
+        }
+        if state > self.state {
+            self.state = state;
+            self.state_since = now;
+        }
+        is_news
+    }
+
+    /// The store shows what was recorded. Another host may have decided otherwise than this one.
+    fn on_stored(&mut self, state: Option<RolloutState>) {
+        self.stored = self.stored.max(state);
+        if let Some(state) = state.filter(|state| state.is_final()) {
+            self.state = state;
+        }
+    }
+
+    fn progress(&self, now: Moment) -> RolloutProgress {
+        RolloutProgress {
+            order: self.order.clone(),
+            revision: self.revision,
+            age_ms: now.since(self.began),
+            step: self.step,
+            state: self.state,
+        }
+    }
+
+    /// What the reports of all hosts say.
+    fn judge(&self, others_open: u32, region_count: usize, now: Moment) -> RolloutState {
+        let mut tally = self.hosts.tally();
+        tally.add(&self.own);
+        tally.add(&self.regions.tally());
+        if tally.shows_bad() {
+            return RolloutState::Reverted;
+        }
+        let age = now.since(self.began) as f64 / self.order.over_ms.max(1) as f64;
+        let proved_ms = self.order.over_ms as f64 * PROVED_FOR;
+        let is_proved = self
+            .all_since
+            .is_some_and(|since| now.since(since) as f64 >= proved_ms);
+        let regions: Vec<_> = self.regions.present(now).collect();
+        let have_moved = regions.len() + 1 >= region_count
+            && regions.iter().all(|region| region.step == RolloutStep::All);
+        let open = others_open + regions.iter().map(|region| region.others_open).sum::<u32>();
+        if is_proved && have_moved && (open == 0 || age >= LAST_CALL) {
+            RolloutState::Complete
+        } else {
+            RolloutState::Running
+        }
+    }
+}
+
+/// The orders that a host knows, by service.
+#[derive(Debug, Default)]
+pub struct RolloutTable {
+    position: u64,
+    orders: collections::BTreeMap<String, OpenRollout>,
+}
+
+impl RolloutTable {
+    /// Whether there is no order.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    /// The store's position up to which the orders are current.
+    #[must_use]
+    pub const fn position(&self) -> u64 {
+        self.position
+    }
+
+    /// Takes over the whole list of the store, or what another host knows of it.
+    pub fn on_list(&mut self, stored: Vec<(StoredRollout, u64)>, position: u64, now: Moment) {
+        let services: collections::BTreeSet<String> = stored
+            .iter()
+            .map(|(stored, _)| stored.order.service.clone())
+            .collect();
+        self.orders.retain(|service, _| services.contains(service));
+        for (stored, revision) in stored {
+            self.on_order(stored, revision, now);
+        }
+        self.position = position;
+    }
+
+    /// Takes over one order as the store shows it.
+    pub fn on_order(&mut self, stored: StoredRollout, revision: u64, now: Moment) {
+        let service = stored.order.service.clone();
+        if let Some(known) = self.orders.get_mut(&service) {
+            if known.order.is_same(&stored.order) {
+                known.revision = known.revision.max(revision);
+                known.on_stored(stored.state);
+                return;
+            }
+            if known.revision > revision {
+                return;
+            }
+        }
+        let open = OpenRollout::new(stored, revision, now, now);
+        self.orders.insert(service, open);
+    }
+
+    /// An order is gone from the store.
+    pub fn on_gone(&mut self, name: &str) {
+        self.orders.retain(|_, open| open.order.name != name);
+    }
+
+    /// The list is current up to here.
+    pub fn on_position(&mut self, position: u64) {
+        self.position = self.position.max(position);
+    }
+
+    /// All that others must know.
+    #[must_use]
+    pub fn news(&self, now: Moment) -> RolloutNews {
+        let orders = self.orders.values();
+        RolloutNews {
+            position: self.position,
+            orders: orders.map(|open| open.progress(now)).collect(),
+        }
+    }
+
+    /// Takes in what another host knows; returns whether an order has come further.
+    pub fn on_news(&mut self, news: &RolloutNews, now: Moment) -> bool {
+        let mut is_news = false;
+        if news.position > self.position {
+            let told = news.orders.iter().map(|told| {
+                let stored = StoredRollout {
+                    order: told.order.clone(),
+                    state: None,
+                };
+                (stored, told.revision)
+            });
+            let before = self.orders.len();
+            self.on_list(told.collect(), news.position, now);
+            is_news = self.orders.len() != before;
+        }
+        for told in &news.orders {
+            if let Some(open) = self.orders.get_mut(&told.order.service)
+                && open.order.is_same(&told.order)
+            {
+                open.began = open.began.min(now.before(told.age_ms));
+                is_news |= open.advance(told.step, told.state, now);
+            }
+        }
+        is_news
+    }
+
+    /// Which versions may get a request of `service`. `point` is a number from 0 up to 1 that stays the same for
+    /// requests about the same object; `is_repeat` tells that a server has failed it.
+    #[must_use]
+    pub fn rule_of(
+        &self,
+        service: &str,
+        point: f64,
+        canary_share: f64,
+        is_repeat: bool,
+    ) -> VersionRule {
+        let Some(open) = self.orders.get(service) else {
+            return VersionRule::Any;
+        };
+        let target = open.order.target_tag();
+        match open.state {
+            RolloutState::Reverted => VersionRule::Except(target),
+            RolloutState::Complete => VersionRule::Only(target),
+            RolloutState::Running if open.step == RolloutStep::All => VersionRule::Only(target),
+            RolloutState::Running if !is_repeat && point < open.step.share(canary_share) => {
+                VersionRule::Only(target)
+            }
+            RolloutState::Running => VersionRule::Except(target),
+        }
+    }
+
+    /// A request of `service` has ended on a server.
+    pub fn on_answer(&mut self, service: &str, answer: &RolloutAnswer<'_>) {
+        if let Some(open) = self.orders.get_mut(service)
+            && open.state == RolloutState::Running
+        {
+            let is_target = answer.version == open.order.target_tag();
+            open.own.on_answer(answer.route, is_target, answer.is_bad);
+        }
+    }
+
+    /// The orders whose traffic is being moved.
+    pub fn running(&self) -> impl Iterator<Item = &RolloutOrder> {
+        let running = self.orders.values();
+        let running = running.filter(|open| open.state == RolloutState::Running);
+        running.map(|open| &open.order)
+    }
+
+    /// What this host has counted since an order, for the host that decides.
+    #[must_use]
+    pub fn own_report(
+        &self,
+        service: &str,
+        source: u64,
+        others_open: u32,
+    ) -> Option<RolloutReport> {
+        let open = self.orders.get(service)?;
+        Some(RolloutReport {
+            source,
+            service: service.to_owned(),
+            created: open.order.created,
+            tally: open.own.for_report(),
+            others_open,
+            step: open.step,
+        })
+    }
+
+    /// What the hosts of this region have counted together, for the other regions.
+    #[must_use]
+    pub fn region_report(
+        &self,
+        service: &str,
+        source: u64,
+        others_open: u32,
+        now: Moment,
+    ) -> Option<RolloutReport> {
+        let open = self.orders.get(service)?;
+        let mut tally = open.hosts.tally();
+        tally.add(&open.own);
+        let hosts = open.hosts.present(now);
+        Some(RolloutReport {
+            source,
+            service: service.to_owned(),
+            created: open.order.created,
+            tally: tally.for_report(),
+            others_open: others_open + hosts.map(|host| host.others_open).sum::<u32>(),
+            step: open.step,
+        })
+    }
+
+    /// A host of this region has reported.
+    pub fn on_host_report(&mut self, report: RolloutReport, now: Moment) {
+        if let Some(open) = self.open_of(&report) {
+            open.hosts.put(report, now);
+        }
+    }
+
+    /// Another region has reported.
+    pub fn on_region_report(&mut self, report: RolloutReport, now: Moment) {
+        if let Some(open) = self.open_of(&report) {
+            open.regions.put(report, now);
+        }
+    }
+
+    fn open_of(&mut self, report: &RolloutReport) -> Option<&mut OpenRollout> {
+        let open = self.orders.get_mut(&report.service)?;
+        (open.order.created == report.created).then_some(open)
+    }
+
+    /// Decides on an order, on the host that decides for its region; `None` if nothing changes. `others_open` counts
+    /// the requests of this host on servers of other versions.
+    pub fn decide(
+        &mut self,
+        service: &str,
+        others_open: u32,
+        region_count: usize,
+        now: Moment,
+    ) -> Option<RolloutChange> {
+        let open = self.orders.get_mut(service)?;
+        if open.state != RolloutState::Running {
+            return None;
+        }
+        let hosts_open: u32 = open.hosts.present(now).map(|host| host.others_open).sum();
+        let state = open.judge(others_open + hosts_open, region_count, now);
+        let step = RolloutStep::due(now.since(open.began), open.order.over_ms);
+        open.advance(step, state, now).then(|| RolloutChange {
+            order: open.order.clone(),
+            step: open.step,
+            state: open.state,
+        })
+    }
+
+    /// The states that the store lacks and that were known for `wait_ms`.
+    #[must_use]
+    pub fn unrecorded(&self, wait_ms: u64, now: Moment) -> Vec<RolloutRecord> {
+        let open = self.orders.values().filter(|open| {
+            let is_due = open.stored.is_none_or(|stored| stored < open.state);
+            is_due && now.since(open.state_since) >= wait_ms
+        });
+        open.map(|open| RolloutRecord {
+            order: open.order.clone(),
+            state: open.state,
+            revision: open.revision,
+        })
+        .collect()
+    }
+
+    /// A state was recorded; the object stands at `revision` now.
+    pub fn on_recorded(&mut self, record: &RolloutRecord, revision: u64) {
+        if let Some(open) = self.orders.get_mut(&record.order.service)
+            && open.order.is_same(&record.order)
+        {
+            open.on_stored(Some(record.state));
+            open.revision = open.revision.max(revision);
+        }
+    }
+}
+
+/// How a request ended on a server.
+#[derive(Debug, Clone, Copy)]
+pub struct RolloutAnswer<'a> {
+    /// Its route.
+    pub route: &'a str,
+    /// The server's version.
+    pub version: super::order::VersionTag,
+    /// Whether it failed, or took several times as long as usual.
+    pub is_bad: bool,
+}
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -88,6 +88,7 @@
                 service: "desk".to_owned(),
                 address: "127.0.0.1:9".parse().expect("an address"),
                 hall: if number % 2 == 0 { "east" } else { "west" }.to_owned(),
+                version: ledgespool::rollout::order::VersionTag::of_name("v1"),
                 slots: *slots,
                 state: ServerState::Ready,
                 cold_ms: 0,
@@ -106,6 +107,7 @@
     object: Option<u64>,
     homes: &'a [String],
     evacuated: &'a BTreeSet<String>,
+    versions: ledgespool::rollout::plan::VersionRule::Any,
     tried: &'a [String],
     limits: &'a ServerLimitTable,
 }
@@ -119,6 +121,7 @@
         weights: asked.weights,
         homes: asked.homes,
         evacuated: asked.evacuated,
+        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: asked.tried,
         near: false,
         usual_ms: 100.0,
@@ -218,6 +221,7 @@
         object: Some(7),
         homes: &[],
         evacuated: &none,
+        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -252,6 +256,7 @@
         object: Some(7),
         homes: &[],
         evacuated: &none,
+        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -302,6 +307,7 @@
             object: Some(object),
             homes: &[],
             evacuated: &none,
+            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -338,6 +344,7 @@
             object: Some(object),
             homes: &home,
             evacuated: &none,
+            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -356,6 +363,7 @@
         object: Some(1),
         homes: &[],
         evacuated: &both,
+        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -373,6 +381,7 @@
         object: Some(1),
         homes: &[],
         evacuated: &none,
+        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -406,6 +415,7 @@
             object,
             homes: &[],
             evacuated: &none,
+            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -442,6 +452,7 @@
             object: Some(object),
             homes: &[],
             evacuated: &none,
+            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -474,6 +485,7 @@
             object: Some(object),
             homes: &[],
             evacuated: &evacuated,
+            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &tried,
             limits: &ServerLimitTable::default(),
         };
@@ -526,6 +538,7 @@
                 object: Some(object),
                 homes: &[],
                 evacuated: &none,
+                versions: ledgespool::rollout::plan::VersionRule::Any,
                 tried: &tried,
                 limits: &ServerLimitTable::default(),
             };
@@ -556,6 +569,7 @@
         object: None,
         homes: &[],
         evacuated: &none,
+        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &limits,
     };
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -27,6 +27,7 @@
         service: "desk".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         hall: "east".to_owned(),
+        version: ledgespool::rollout::order::VersionTag::of_name("v1"),
         slots: 4,
         state,
         cold_ms,
--- a/tests/entry_restart.rs
+++ b/tests/entry_restart.rs
@@ -34,6 +34,7 @@
             service: "desk".to_owned(),
             address: "127.0.0.1:9".parse().expect("an address"),
             hall: "east".to_owned(),
+            version: ledgespool::rollout::order::VersionTag::of_name("v1"),
             slots: 4,
             state: ServerState::Ready,
             cold_ms: 0,
