--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -17,6 +17,8 @@
 use ledgespool::entry::server_limit::table::ServerLimitTable;
 use ledgespool::entry::settings::HallMap;
 use ledgespool::entry::store::{ObjectContent, StoredObject};
+use ledgespool::rollout::order::VersionTag;
+use ledgespool::rollout::plan::VersionRule;
 use ledgespool::timer::Moment;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -62,7 +64,7 @@
             weights: &weights,
             homes: &[],
             evacuated: &evacuated,
-            versions: ledgespool::rollout::plan::VersionRule::Any,
+            versions: VersionRule::Any,
             tried: &[],
             near: false,
             usual_ms: 150.0,
@@ -100,7 +102,7 @@
                     service: "desk".to_owned(),
                     address: "127.0.0.1:9".parse().expect("an address"),
                     hall: hall(number),
-                    version: ledgespool::rollout::order::VersionTag::of_name("v1"),
+                    version: VersionTag::of_name("v1"),
                     slots: 9,
                     state: ServerState::Ready,
                     cold_ms: 0,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -240,7 +240,7 @@
             }
             Ok(PeerMessage::Leaving(servers)) => host.on_leaving_told(&servers, "peer"),
             Ok(PeerMessage::RolloutReport(report)) => {
-                host.rollouts.on_host_report(report, host.now())
+                host.rollouts.on_host_report(report, host.now());
             }
             Ok(PeerMessage::RegionRollout(report)) => {
                 host.rollouts.on_region_report(report, host.now());
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -304,14 +304,17 @@
             return VersionRule::Any;
         };
         let target = open.order.target_tag();
-        match open.state {
-            RolloutState::Reverted => VersionRule::Except(target),
-            RolloutState::Complete => VersionRule::Only(target),
-            RolloutState::Running if open.step == RolloutStep::All => VersionRule::Only(target),
-            RolloutState::Running if !is_repeat && point < open.step.share(canary_share) => {
-                VersionRule::Only(target)
-            }
-            RolloutState::Running => VersionRule::Except(target),
+        let has_moved = open.step == RolloutStep::All;
+        let is_canary = !is_repeat && point < open.step.share(canary_share);
+        let goes_there = match open.state {
+            RolloutState::Running => has_moved || is_canary,
+            RolloutState::Complete => true,
+            RolloutState::Reverted => false,
+        };
+        if goes_there {
+            VersionRule::Only(target)
+        } else {
+            VersionRule::Except(target)
         }
     }
 
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -19,6 +19,8 @@
 use ledgespool::entry::server_limit::table::ServerLimitTable;
 use ledgespool::entry::settings::HallMap;
 use ledgespool::entry::store::{ObjectContent, StoredObject};
+use ledgespool::rollout::order::VersionTag;
+use ledgespool::rollout::plan::VersionRule;
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
 use rand::SeedableRng as _;
@@ -88,7 +90,7 @@
                 service: "desk".to_owned(),
                 address: "127.0.0.1:9".parse().expect("an address"),
                 hall: if number % 2 == 0 { "east" } else { "west" }.to_owned(),
-                version: ledgespool::rollout::order::VersionTag::of_name("v1"),
+                version: VersionTag::of_name("v1"),
                 slots: *slots,
                 state: ServerState::Ready,
                 cold_ms: 0,
@@ -107,7 +109,6 @@
     object: Option<u64>,
     homes: &'a [String],
     evacuated: &'a BTreeSet<String>,
-    versions: ledgespool::rollout::plan::VersionRule::Any,
     tried: &'a [String],
     limits: &'a ServerLimitTable,
 }
@@ -121,7 +122,7 @@
         weights: asked.weights,
         homes: asked.homes,
         evacuated: asked.evacuated,
-        versions: ledgespool::rollout::plan::VersionRule::Any,
+        versions: VersionRule::Any,
         tried: asked.tried,
         near: false,
         usual_ms: 100.0,
@@ -221,7 +222,6 @@
         object: Some(7),
         homes: &[],
         evacuated: &none,
-        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -256,7 +256,6 @@
         object: Some(7),
         homes: &[],
         evacuated: &none,
-        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -307,7 +306,6 @@
             object: Some(object),
             homes: &[],
             evacuated: &none,
-            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -344,7 +342,6 @@
             object: Some(object),
             homes: &home,
             evacuated: &none,
-            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -363,7 +360,6 @@
         object: Some(1),
         homes: &[],
         evacuated: &both,
-        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -381,7 +377,6 @@
         object: Some(1),
         homes: &[],
         evacuated: &none,
-        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &ServerLimitTable::default(),
     };
@@ -415,7 +410,6 @@
             object,
             homes: &[],
             evacuated: &none,
-            versions: ledgespool::rollout::plan::VersionRule::Any,
             tried: &[],
             limits: &ServerLimitTable::default(),
         };
@@ -452,8 +446,7 @@
             object: Some(object),
             homes: &[],
             evacuated: &none,
-            versions: ledgespool::rollout::plan::VersionRule::Any,
-            tried: &[],
+                tried: &[],
             limits: &ServerLimitTable::default(),
         };
         let first = chosen(&asked).expect("a server");
@@ -485,8 +478,7 @@
             object: Some(object),
             homes: &[],
             evacuated: &evacuated,
-            versions: ledgespool::rollout::plan::VersionRule::Any,
-            tried: &tried,
+                tried: &tried,
             limits: &ServerLimitTable::default(),
         };
         let query = ChoiceQuery { near, ..query(&asked) };
@@ -538,8 +530,7 @@
                 object: Some(object),
                 homes: &[],
                 evacuated: &none,
-                versions: ledgespool::rollout::plan::VersionRule::Any,
-                tried: &tried,
+                        tried: &tried,
                 limits: &ServerLimitTable::default(),
             };
             let next = chosen(&asked).expect("a server");
@@ -569,7 +560,6 @@
         object: None,
         homes: &[],
         evacuated: &none,
-        versions: ledgespool::rollout::plan::VersionRule::Any,
         tried: &[],
         limits: &limits,
     };
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -9,6 +9,7 @@
 use ledgespool::entry::server::{ServerLoad, ServerRecord, ServerState};
 use ledgespool::entry::settings::HallMap;
 use ledgespool::entry::store::{ObjectChange, ObjectContent, StoredObject};
+use ledgespool::rollout::order::VersionTag;
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
 
@@ -27,7 +28,7 @@
         service: "desk".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         hall: "east".to_owned(),
-        version: ledgespool::rollout::order::VersionTag::of_name("v1"),
+        version: VersionTag::of_name("v1"),
         slots: 4,
         state,
         cold_ms,
--- a/tests/entry_restart.rs
+++ b/tests/entry_restart.rs
@@ -13,6 +13,7 @@
 use ledgespool::entry::server::{ServerLoad, ServerRecord, ServerState};
 use ledgespool::entry::settings::HallMap;
 use ledgespool::entry::store::{ObjectChange, ObjectContent, StoredObject};
+use ledgespool::rollout::order::VersionTag;
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
 
@@ -34,7 +35,7 @@
             service: "desk".to_owned(),
             address: "127.0.0.1:9".parse().expect("an address"),
             hall: "east".to_owned(),
-            version: ledgespool::rollout::order::VersionTag::of_name("v1"),
+            version: VersionTag::of_name("v1"),
             slots: 4,
             state: ServerState::Ready,
             cold_ms: 0,
--- a/tests/entry_server_notice.rs
+++ b/tests/entry_server_notice.rs
@@ -14,6 +14,8 @@
 use ledgespool::entry::server_notice::ServerStanding;
 use ledgespool::entry::settings::HallMap;
 use ledgespool::entry::store::{ObjectContent, StoredObject};
+use ledgespool::rollout::order::VersionTag;
+use ledgespool::rollout::plan::VersionRule;
 use ledgespool::timer::Moment;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -38,7 +40,7 @@
             service: "desk".to_owned(),
             address: "127.0.0.1:9".parse().expect("an address"),
             hall: "east".to_owned(),
-            version: ledgespool::rollout::order::VersionTag::of_name("v1"),
+            version: VersionTag::of_name("v1"),
             slots: 3,
             state: ServerState::Ready,
             cold_ms: 0,
@@ -72,7 +74,7 @@
         weights: &RegionWeights::default(),
         homes: &[],
         evacuated: &BTreeSet::new(),
-        versions: ledgespool::rollout::plan::VersionRule::Any,
+        versions: VersionRule::Any,
         tried,
         near: false,
         usual_ms: 100.0,
