A change of one server costs the same whatever the number of servers

What callers would see: on the whole fleet 10,002 servers come, change and go, and every host is told of each. A host of a tenth of a core spent 43 ms of its time on each datagram of news, so hosts fall behind while servers start or are replaced, and requests wait behind the news.

Cause: after each batch of changes the ways to find servers (by service, by start) were made anew for all of them: a name copied for each, and a sort. What a change costs grew with the servers, and the number of changes does too.

Ruled out: reading the news (2 us for each server) and the tick (29 us).

Now: only what has changed is replaced. Changes past a position are told without copying all records first.

--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::ended_servers::{EndKind, EndedServers};
 use super::fleet_change::{ChangeSpan, FleetChange, LapsedServer};
+use super::fleet_index::FleetIndex;
 use super::fleet_server::FleetServer;
 use super::lapse_hold::{LapseHold, MissingSource, ReturnSight};
 use super::past_notices::PastNotices;
@@ -30,9 +31,7 @@
     pub(super) servers: collections::HashMap<String, rc::Rc<FleetServer>>,
     pub(super) records: collections::HashMap<String, ServerRecord>,
     pub(super) revisions: collections::HashMap<String, u64>,
-    by_service: collections::HashMap<String, Vec<rc::Rc<FleetServer>>>,
-    /// By the hash of identity and start.
-    by_start: rustc_hash::FxHashMap<u64, rc::Rc<FleetServer>>,
+    index: FleetIndex,
     /// The last that ended, for hosts that missed it.
     pub(super) ended: EndedServers,
     pub(super) past_notices: PastNotices,
@@ -46,7 +45,7 @@
     /// The servers of a service that are not gone.
     #[must_use]
     pub fn of_service(&self, service: &str) -> &[rc::Rc<FleetServer>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.index.of_service(service)
     }
 
     /// Whether an incarnation is known and not gone.
@@ -58,7 +57,13 @@
     /// The server with this hash of identity and start, if it is known and not gone.
     #[must_use]
     pub fn of_start(&self, start_hash: u64) -> Option<rc::Rc<FleetServer>> {
-        self.by_start.get(&start_hash).cloned()
+        self.index.of_start(start_hash).cloned()
+    }
+
+    /// How often a server was put into the ways to find it: what changes cost.
+    #[must_use]
+    pub const fn servers_indexed(&self) -> u64 {
+        self.index.indexed()
     }
 
     /// Every server that is not gone.
@@ -125,7 +130,7 @@
         self.revision = revision;
         self.changed = revision;
         self.listed = true;
-        self.index();
+        self.index.rebuild(self.servers.values());
         changes
     }
 
@@ -219,17 +224,18 @@
             if outdated || self.is_superseded(&change.object) {
                 continue;
             }
+            let before = self.servers.get(id).cloned();
             if change.deleted {
                 changes.extend(self.remove(id, span.until, source, now));
             } else if change.object.revision > self.revision || self.revisions.contains_key(id) {
                 changes.extend(self.put(&change.object, halls, now));
             }
+            self.index.replace(before.as_ref(), self.servers.get(id));
         }
         if span.contiguous && span.until > self.revision {
             self.revision = span.until;
             self.changed = span.until;
         }
-        self.index();
         changes
     }
 
@@ -252,20 +258,14 @@
     /// Takes lapsed servers out whose time is over.
     pub fn on_tick(&mut self, now: Moment) -> Vec<FleetChange> {
         self.past_notices.on_tick(now);
-        let over: Vec<String> = self
-            .servers
-            .values()
-            .filter(|server| server.has_lapsed(now))
-            .map(|server| server.id.clone())
-            .collect();
-        if over.is_empty() {
-            return Vec::new();
+        let lapsed = self.servers.values();
+        let lapsed = lapsed.filter(|server| server.has_lapsed(now)).cloned();
+        let lapsed: Vec<_> = lapsed.collect();
+        let mut changes = Vec::new();
+        for server in lapsed {
+            changes.extend(self.end(&server.id, self.revision, EndKind::Lapsed, now));
+            self.index.replace(Some(&server), None);
         }
-        let by = self.revision;
-        let end = EndKind::Lapsed;
-        let changes = over.iter().filter_map(|id| self.end(id, by, end, now));
-        let changes = changes.collect();
-        self.index();
         changes
     }
 
@@ -305,18 +305,4 @@
         }
         Some(FleetChange::Gone(id.to_owned()))
     }
-
-    fn index(&mut self) {
-        self.by_service.clear();
-        self.by_start.clear();
-        for server in self.servers.values() {
-            self.by_start
-                .insert(server.start_hash, rc::Rc::clone(server));
-            let list = self.by_service.entry(server.service.clone()).or_default();
-            list.push(rc::Rc::clone(server));
-        }
-        for list in self.by_service.values_mut() {
-            list.sort_by(|a, b| a.id.cmp(&b.id));
-        }
-    }
 }
--- a/src/entry/fleet_told.rs
+++ b/src/entry/fleet_told.rs
@@ -18,13 +18,22 @@
     /// Every server as the store holds it. One whose entry has perhaps only lapsed is told by
     /// [`Self::kept`] instead.
     pub fn objects(&self) -> impl Iterator<Item = ServerObject> {
-        let present = self.records.values().filter(|record| {
-            let server = self.servers.get(&record.id);
-            server.is_some_and(|server| server.missing_until().is_none())
-        });
-        present.map(|record| ServerObject {
-            record: record.clone(),
-            revision: self.revisions.get(&record.id).copied().unwrap_or(0),
+        self.objects_past(None)
+    }
+
+    /// Those that have changed past the store's count `since`, or all.
+    fn objects_past(&self, since: Option<u64>) -> impl Iterator<Item = ServerObject> {
+        // Most are left out, so nothing is copied before that is known.
+        self.records.values().filter_map(move |record| {
+            let revision = self.revisions.get(&record.id).copied().unwrap_or(0);
+            if since.is_some_and(|since| revision <= since) {
+                return None;
+            }
+            let server = self.servers.get(&record.id)?;
+            server.missing_until().is_none().then(|| ServerObject {
+                record: record.clone(),
+                revision,
+            })
         })
     }
 
@@ -42,9 +51,8 @@
         });
         // When its time is over, a lapsed server ends without a change in the store.
         let gone = ended.chain(self.kept(now));
-        let is_newer = |object: &ServerObject| object.revision > since;
         Some(FleetDifference {
-            changed: self.objects().filter(is_newer).collect(),
+            changed: self.objects_past(Some(since)).collect(),
             gone: gone.collect(),
         })
     }
@@ -52,8 +60,8 @@
     /// Servers that are kept although their entries are missing, and for how much longer.
     pub fn kept(&self, now: Moment) -> impl Iterator<Item = GoneServer> {
         self.servers.values().filter_map(move |server| {
-            let id = server.id.clone();
             let hold_ms = server.missing_until()?.since(now);
+            let id = server.id.clone();
             Some(GoneServer { id, hold_ms })
         })
     }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -248,6 +248,7 @@
             configuration_version: self.configuration_version(),
             configuration_age_ms: self.configuration_age_ms(),
             servers: self.fleet.borrow().servers().count(),
+            servers_indexed: self.fleet.borrow().servers_indexed(),
             peers: self.peers.borrow().records().count(),
             limit_hosts: self.limits.hosts(),
             suspects: self.quarantine.digest().count,
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -128,6 +128,8 @@
     pub configuration_age_ms: Option<u64>,
     /// Backend servers known.
     pub servers: usize,
+    /// How often a server was put into the ways to find it.
+    pub servers_indexed: u64,
     /// Other entry hosts known.
     pub peers: usize,
     /// Hosts that this one divides limits by; 0 before it has lent its first part.
@@ -246,7 +248,7 @@
         page
     }
 
-    fn plain(&self, current: &CurrentFigures) -> [(&'static str, u64); 30] {
+    fn plain(&self, current: &CurrentFigures) -> [(&'static str, u64); 31] {
         [
             ("ledgespool_within_limit_total", self.within_limit),
             ("ledgespool_limit_hosts", u64::from(current.limit_hosts)),
@@ -288,6 +290,7 @@
             ),
             ("ledgespool_store_era", current.store_era),
             ("ledgespool_servers", current.servers as u64),
+            ("ledgespool_servers_indexed_total", current.servers_indexed),
             ("ledgespool_peers", current.peers as u64),
             (
                 "ledgespool_idle_connections",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,6 +32,7 @@
 pub mod fingerprint;
 pub mod fleet;
 pub mod fleet_change;
+mod fleet_index;
 mod fleet_put;
 pub mod fleet_server;
 pub mod fleet_told;
