A list of the store is read to its end, however many pages it has

What callers would see: with 20,000 servers, twice the whole fleet, a list has more than 100 pages of 200. A host read the first 100 and took every server behind them for gone: they got no work, and hosts that watch told the others so.

Cause: a fixed number of pages, without a word when it was reached. It stood in for an end of the loop; now the end is that the store says so, and a page that leads no further than the one before is an error that is logged and tried again.

An entry without a readable name does not lead the list back to its start.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -48,8 +48,6 @@
 const GROUP_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// How often a host that leaves the store to others looks whether that still holds.
 const ROLE_PAUSE: time::Duration = time::Duration::from_millis(100);
-/// Pages that one list has at most.
-const MAX_PAGES: usize = 100;
 
 /// Starts the tasks that follow the store.
 pub fn spawn<W: WireProtocol, S: ObjectStore>(host: &rc::Rc<EntryHost<W>>, store: &rc::Rc<S>) {
@@ -127,7 +125,7 @@
         let mut objects = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
-        for _ in 0..MAX_PAGES {
+        loop {
             let began = self.host.now();
             let call = self.store.list(self.kind, after.as_deref());
             let page = tokio::time::timeout(CALL_LIMIT, call)
@@ -137,11 +135,19 @@
             let page = page?;
             // The first page's count: what changes while the rest is read is watched from there.
             revision = revision.or(Some(page.revision));
-            after = page.objects.last().map(|object| object.name.clone());
+            // An entry that cannot be read may lack its name.
+            let names = page.objects.iter().map(|object| &object.name);
+            let last = names.max().cloned();
+            let more = page.more;
             objects.extend(page.objects);
-            if !page.more || after.is_none() {
+            if !more {
                 break;
             }
+            // A page that leads no further would be read for ever.
+            if last <= after {
+                return Err(StoreFault::Malformed("a list that does not end".to_owned()));
+            }
+            after = last;
         }
         let revision = revision.unwrap_or(0);
         store_news::on_list(&self.host, self.kind, &objects, revision);
