As many ends of servers are remembered as there are servers

What would be seen: when a hall of the whole fleet loses power 1,100 entries go at once, and a region's 3,300. A host that missed a datagram of that news asks another for what has changed. With 1,024 ends remembered the answer was "read everything": the whole list of 10,002 servers for each such host, at the moment when links are busiest.

Cause: a constant that held for the deployments of its time. Now the number goes with the servers that are known. The last end of a server is found by its identity, where all remembered ones were compared before for each changed server.

Test: the loss of a third of 300, 3,000 and 9,000 servers is told as a difference; before, at 9,000, as nothing.

--- a/src/entry/ended_servers.rs
+++ b/src/entry/ended_servers.rs
@@ -6,11 +6,13 @@
 
 use std::collections;
 
+use super::hash;
 use super::server::ServerRecord;
 use super::store_position;
 
-/// Ended servers that are remembered: more than end in a minute of the busiest releases in use.
-const MAX_ENDED: usize = 1_024;
+/// Ended servers that are remembered at least. Beyond, as many as there are servers: when a hall or a region of any
+/// size is lost, a host that missed the news still hears of it without reading the whole list.
+const LEAST_ENDED: usize = 1_024;
 
 /// A server that is gone, and the store's count by which it was.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,6 +37,10 @@
 #[derive(Debug, Default)]
 pub(super) struct EndedServers {
     servers: collections::VecDeque<EndedServer>,
+    /// How many were forgotten: the number of the first that is remembered.
+    forgotten: usize,
+    /// The number of the last end of each identity, by its hash.
+    last: rustc_hash::FxHashMap<u64, usize>,
     /// What ended up to this count of the store may be forgotten.
     told_from: u64,
 }
@@ -45,29 +51,44 @@
         self.told_from = self.told_from.max(revision);
     }
 
-    /// A server is gone by the store's count `by`.
-    pub(super) fn on_ended(&mut self, record: &ServerRecord, by: u64, kind: EndKind) {
+    /// A server is gone by the store's count `by`; `fleet` servers are left.
+    pub(super) fn on_ended(&mut self, record: &ServerRecord, by: u64, kind: EndKind, fleet: usize) {
+        let number = self.forgotten + self.servers.len();
+        self.last.insert(hash::of_name(&record.id), number);
         self.servers.push_back(EndedServer {
             id: record.id.clone(),
             born: record.born,
             by,
             kind,
         });
-        if self.servers.len() > MAX_ENDED
-            && let Some(forgotten) = self.servers.pop_front()
-        {
-            self.told_from = self.told_from.max(forgotten.by);
+        while self.servers.len() > fleet.max(LEAST_ENDED) {
+            self.forget_first();
         }
     }
 
+    fn forget_first(&mut self) {
+        let Some(first) = self.servers.pop_front() else {
+            return;
+        };
+        let key = hash::of_name(&first.id);
+        if self.last.get(&key) == Some(&self.forgotten) {
+            self.last.remove(&key);
+        }
+        self.forgotten += 1;
+        self.told_from = self.told_from.max(first.by);
+    }
+
+    /// The last end of a server, if it is remembered.
+    fn last_end(&self, id: &str) -> Option<&EndedServer> {
+        let number = self.last.get(&hash::of_name(id))?;
+        let ended = self.servers.get(number - self.forgotten)?;
+        (ended.id == id).then_some(ended)
+    }
+
     /// Whether the store removed the entry of this start of a server, or of a later one, by its count
     /// `revision` or later: an entry of that count is out of date.
     pub(super) fn has_ended(&self, record: &ServerRecord, revision: u64) -> bool {
-        let last = self
-            .servers
-            .iter()
-            .rev()
-            .find(|ended| ended.id == record.id);
+        let last = self.last_end(&record.id);
         last.is_some_and(|ended| {
             let is_later_start = record.born > ended.born;
             ended.kind == EndKind::Removed && ended.by >= revision && !is_later_start
@@ -77,11 +98,7 @@
     /// Whether the store removed the entry of this start of a server in an era before that of `position`: where the
     /// entry is there again, it comes from an older copy, or its server lives and has written it again.
     pub(super) fn ended_in_former_era(&self, record: &ServerRecord, position: u64) -> bool {
-        let last = self
-            .servers
-            .iter()
-            .rev()
-            .find(|ended| ended.id == record.id);
+        let last = self.last_end(&record.id);
         let era = store_position::era_of;
         last.is_some_and(|ended| era(ended.by) < era(position) && record.born <= ended.born)
     }
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -301,7 +301,9 @@
         self.past_notices.put(server.start_hash, notice, now);
         server.on_gone();
         if let Some(record) = self.records.remove(id) {
-            self.ended.on_ended(&record, by.max(self.revision), kind);
+            let left = self.servers.len();
+            let by = by.max(self.revision);
+            self.ended.on_ended(&record, by, kind, left);
         }
         Some(FleetChange::Gone(id.to_owned()))
     }
--- a/tests/entry_fleet_size.rs
+++ b/tests/entry_fleet_size.rs
@@ -72,6 +72,19 @@
     }
 }
 
+#[test]
+fn the_loss_of_a_third_of_all_servers_is_told_without_the_whole_list() {
+    for count in [300, 3_000, 9_000] {
+        let mut fleet = listed(count);
+        for number in 0..count / 3 {
+            apply(&mut fleet, object(number, 1, 2 + number as u64), true);
+        }
+        let told = fleet.changes_since(1, Moment(2)).expect("it is remembered");
+        assert_eq!(told.gone.len(), count / 3, "{count} servers");
+        assert!(told.changed.is_empty(), "{count} servers");
+    }
+}
+
 #[test]
 fn servers_are_found_alike_after_any_changes_and_after_a_list() {
     let mut random = SmallRng::seed_from_u64(11);
