A host that does not know how many share a limit takes no fixed part of it

What would be seen: until it has met all others a host counted 470, "the largest deployment that is planned". On the whole fleet 986 hosts that start together each took a 470th of each shared limit: twice the limit together (retries beside the ratio; customers' limits where no size was told).

Cause: a number in place of "unknown". Any number is exceeded by a larger deployment. Now the fixed part of a limit is nothing until the hosts are known, and what goes by the own requests stays. Hosts count as known once there was time to hear of them, which may be early where there are a thousand: if others tell of more hosts in a region than are known, limits are divided by those.

On smaller deployments nothing changes: a 470th of 58 retries in ten seconds was none, and a cold server's limit gave a host that did not know the others none either. Tests: no fixed part before the number is known, whatever the limit (failed before); a host that is told of 900 hosts divides by about as many (failed before).

--- a/src/entry/peers/region_size.rs
+++ b/src/entry/peers/region_size.rs
@@ -10,8 +10,9 @@
 /// The size of a region that nobody has told again for this long is not gone by any more, in milliseconds:
 /// several times the time in which each host hears from those that know all.
 const TOLD_SIZE_MS: u64 = 60_000;
-/// Hosts that are assumed until all are known: as many as the largest deployment that is planned.
-const UNLISTED_HOSTS: u32 = 470;
+/// The count until all hosts are known: so large that the fixed part of any limit is worth no request. Whatever number
+/// were assumed, in a larger deployment all parts together would exceed the limit.
+const UNLISTED_HOSTS: u32 = u32::MAX;
 
 /// How many hosts a region has, as another host knew.
 #[derive(Debug, Clone, Copy)]
@@ -27,16 +28,20 @@
         u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
     }
 
-    /// All hosts that shared limits are divided by, this one included. A host that has just
-    /// started and has met few others must not take their parts, so it counts many.
+    /// All hosts that shared limits are divided by, this one included: those that are known, or as many as others told
+    /// lately. A host that has just started and has met few others must not take their parts.
     #[must_use]
     pub fn host_count(&self) -> u32 {
-        let known = self.known_count();
-        if self.listed {
-            known
-        } else {
-            known.max(UNLISTED_HOSTS)
+        if !self.listed {
+            return UNLISTED_HOSTS;
         }
+        let told = self.told_sizes.iter().map(|(region, told)| {
+            let known = self.region_counts.get(region).copied().unwrap_or(0);
+            // This host may be one of those that others count there.
+            told.hosts.saturating_sub(known + 1)
+        });
+        let unknown = told.sum::<u32>();
+        self.known_count().saturating_add(unknown)
     }
 
     /// How many hosts each region has: those that are known, `own` included, or as many as another host knew
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 
+use ledgespool::entry::budget::{RetryShare, RetryWindow};
 use ledgespool::entry::peer_message::{self, HeardHost, PeerHeartbeat, PeerMessage, WatchState};
 use ledgespool::entry::peers::{
     HostRecord, INDIRECT_SILENT_MS, NEAR_TARGETS, PeerChange, PeerTable, SILENT_MS, WATCHERS,
@@ -359,6 +360,34 @@
     assert_eq!(peers.host_count(), 1);
 }
 
+/// Each of any number of hosts that have just started takes its part of a limit: together they must not exceed it.
+#[test]
+fn hosts_that_do_not_know_their_number_take_no_fixed_part_of_a_limit() {
+    const SLACK: f64 = 100_000.0;
+    let peers = PeerTable::default();
+    let share = RetryShare {
+        ratio: 0.2,
+        slack: SLACK,
+        hosts: peers.host_count(),
+    };
+    assert!(!RetryWindow::with_length(10_000).try_repeat(&share, Moment(0)));
+}
+
+/// Hosts count as known once there was time to hear of them, which may be too early in a large deployment.
+#[test]
+fn a_host_that_others_tell_of_more_hosts_divides_limits_by_as_many() {
+    let mut peers = PeerTable::default();
+    peers.on_listed();
+    for region in ["one", "two", "three"] {
+        let told = HostRecord {
+            region_hosts: 300,
+            ..host(&format!("h-{region}"), region, 200)
+        };
+        peers.on_record(&told, Moment(0));
+    }
+    assert!(peers.host_count() >= 895, "{}", peers.host_count());
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
