Uploads go to servers of any region, as other requests that run once

Few servers take uploads, a third of them stands in a region, and a body is sent to one server only; bytes between regions cost less than the refusals.

--- a/src/entry/configuration.rs
+++ b/src/entry/configuration.rs
@@ -87,16 +87,17 @@
         matches!(self, Self::Repeatable | Self::Download)
     }
 
-    /// Whether its bytes make distance dear, so that servers of other regions come last.
+    /// Whether its bytes make distance dear, so that servers of other regions come last. An upload takes the room that it
+    /// finds: it may be sent to one server only.
     ///
     /// ```
     /// use ledgespool::entry::configuration::RequestKind;
-    /// assert!(RequestKind::Upload.stays_near());
-    /// assert!(!RequestKind::Once.stays_near());
+    /// assert!(RequestKind::Download.stays_near());
+    /// assert!(!RequestKind::Upload.stays_near());
     /// ```
     #[must_use]
     pub const fn stays_near(self) -> bool {
-        matches!(self, Self::Download | Self::Upload)
+        matches!(self, Self::Download)
     }
 }
 
