A host that was told nothing of the others still lets some requests of customers with a limit through

So customers' limits keep the count of 470 for as long as nothing was told, and all other fixed parts stay at none. Open: in a larger deployment with customers, hosts that start without any word of others may exceed a limit together until they meet (docs/design/whole-fleet.md).

--- a/src/entry/peers/grantors.rs
+++ b/src/entry/peers/grantors.rs
@@ -6,6 +6,11 @@
 use crate::entry::hash;
 use crate::timer::Moment;
 
+/// Hosts that a customer's limit is divided by at a host that was told nothing of the others yet. Unlike other limits a
+/// customer's is the only way in, so some of it is held from the start; in a larger deployment hosts that start without
+/// any word of others may exceed it together until they meet.
+const UNTOLD_HOSTS: u32 = 470;
+
 /// A host that pools limits, and where it is.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GrantorPlace {
@@ -62,7 +67,12 @@
         if !self.listed && regions.all(is_told) {
             return sizes;
         }
-        self.host_count().max(sizes)
+        let known = if self.listed {
+            self.host_count()
+        } else {
+            UNTOLD_HOSTS
+        };
+        known.max(sizes)
     }
 }
 
