A host that leaves the store to others is woken by its ticks and heartbeats only

Cause: five tasks of each host looked ten times a second whether the host should watch the store, and one five times a second whether customers have limits. Now the tick looks once and wakes them when that changes.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -46,8 +46,6 @@
 /// After a change the next watch begins this much later, in which others join it: servers and
 /// hosts that start together change one after the other.
 const GROUP_PAUSE: time::Duration = time::Duration::from_millis(250);
-/// How often a host that leaves the store to others looks whether that still holds.
-const ROLE_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// Starts the tasks that follow the store.
 pub fn spawn<W: WireProtocol, S: ObjectStore>(host: &rc::Rc<EntryHost<W>>, store: &rc::Rc<S>) {
@@ -80,9 +78,9 @@
         let mut must_list = false;
         let mut position = None;
         loop {
-            if !self.is_due() {
+            if !self.host.watch.is_watching() {
                 position = None;
-                tokio::time::sleep(ROLE_PAUSE).await;
+                self.host.watch.begins().await;
                 continue;
             }
             let known = position.or_else(|| self.known_position());
@@ -102,16 +100,6 @@
         }
     }
 
-    /// Whether this host watches the store for its region.
-    fn is_due(&self) -> bool {
-        let due = self.host.is_watcher();
-        if self.host.watch.set_watching(due) {
-            let fields = json!({ "watching": due });
-            self.host.note(EventCode::WatchRoleChanged, fields);
-        }
-        due
-    }
-
     /// Where a watch can go on after what other hosts have told.
     fn known_position(&self) -> Option<u64> {
         let fleet = self.host.fleet.borrow();
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -198,6 +198,7 @@
         self.note_customer_faults(&table);
         *self.routes.borrow_mut() = Some(rc::Rc::new(table));
         self.note(EventCode::ConfigInstalled, fields);
+        self.limits.on_configured();
         self.on_learned(source);
     }
 
@@ -274,6 +275,7 @@
     pub(super) fn on_tick(&self) {
         let now = self.now();
         self.note_standstill(now);
+        self.look_at_watch_role();
         let changes = self.fleet.borrow_mut().on_tick(now);
         self.note_fleet(&changes, "timer");
         let fleet = self.fleet.borrow();
--- a/src/entry/limit_role/lending.rs
+++ b/src/entry/limit_role/lending.rs
@@ -20,10 +20,11 @@
     let mut rounds = tokio::time::interval(time::Duration::from_millis(ROUND_MS));
     rounds.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        rounds.tick().await;
-        if host.has_limits() {
-            host.lend_parts();
+        while !host.has_limits() {
+            host.limits.configured.notified().await;
         }
+        rounds.tick().await;
+        host.lend_parts();
     }
 }
 
--- a/src/entry/limit_role/mod.rs
+++ b/src/entry/limit_role/mod.rs
@@ -48,6 +48,8 @@
     questions: PendingAnswers<RightVerdict>,
     /// Told when a grantor uses a part of this host.
     lent: Notify,
+    /// Told when a configuration is put in force, by which there may be limits.
+    configured: Notify,
 }
 
 impl LimitRole {
@@ -61,9 +63,15 @@
             places: cell::RefCell::default(),
             questions: PendingAnswers::default(),
             lent: Notify::new(),
+            configured: Notify::new(),
         }
     }
 
+    /// A configuration was put in force.
+    pub(super) fn on_configured(&self) {
+        self.configured.notify_waiters();
+    }
+
     /// All hosts that this one divides limits by; 0 before its first round.
     pub(super) fn hosts(&self) -> u32 {
         self.member.borrow().hosts()
--- a/src/entry/watch_role.rs
+++ b/src/entry/watch_role.rs
@@ -3,11 +3,14 @@
 use std::{cell, collections};
 
 use rand::Rng as _;
+use serde_json::json;
+use tokio::sync::Notify;
 
 use super::host::EntryHost;
 use super::peer_message::WatchState;
 use super::store::ObjectKind;
 use super::wire::WireProtocol;
+use crate::event::EventCode;
 
 /// A started host that is no seed leaves the store to the seeds for this long, in milliseconds, and
 /// asks them. When the whole system starts for the first time there are no callers yet, but many
@@ -32,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct WatchRole {
     watches: cell::Cell<bool>,
+    /// Wakes the tasks that follow a kind: polling took most wake-ups of a host that leaves the store to others.
+    began: Notify,
     lost: cell::RefCell<collections::HashSet<ObjectKind>>,
     /// Where in the order of hosts that list the store this one stands, from 0 to 1.
     spread: cell::OnceCell<f64>,
@@ -43,7 +48,16 @@
         if !watches {
             self.lost.borrow_mut().clear();
         }
-        self.watches.replace(watches) != watches
+        let is_change = self.watches.replace(watches) != watches;
+        if is_change && watches {
+            self.began.notify_waiters();
+        }
+        is_change
+    }
+
+    /// Waits until this host begins to watch the store.
+    pub(super) async fn begins(&self) {
+        self.began.notified().await;
     }
 
     /// Whether this host watches the store.
@@ -112,6 +126,15 @@
         peers.is_watcher(&self.record(), self.now())
     }
 
+    /// Takes up the watch, or leaves it to others, as is due now.
+    pub(super) fn look_at_watch_role(&self) {
+        let is_due = self.is_watcher();
+        if self.watch.set_watching(is_due) {
+            let fields = json!({ "watching": is_due });
+            self.note(EventCode::WatchRoleChanged, fields);
+        }
+    }
+
     /// How long after its start a host without a list of servers lists them itself, in milliseconds.
     fn list_after_ms(&self) -> u64 {
         let settings = self.settings();
