News of servers crosses from hall to hall twice, not once for each host

Cause: a watcher of a region told each change of a server to half of the region's hosts, wherever they stood: changes times hosts. With both growing alike that is the square.

Now each hall is told by one of the region's watchers, by two of its hosts (the largest that live), who pass it on to the hosts of their hall: what crosses is two datagrams for each hall, and the watcher sends to its own hall only. Two, since one may have ended a moment ago; what both miss is made good by heartbeats as before. Halls of two hosts or fewer are told directly, so small deployments keep their way. Another way, weighed: a relay for each half of a hall sends half as much, and loses that half with one host that has just ended.

--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -104,7 +104,7 @@
 ) {
     let parts = news_part::parts_of(changes);
     let now = host.now();
-    let targets = news_targets(host);
+    let targets = host.peers.borrow().fleet_news_targets(&host.record(), now);
     let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
     for (number, part) in (0..).zip(parts) {
         let news = FleetNews {
@@ -115,8 +115,14 @@
             parts: count,
             changed: part.changed,
             gone: gone_servers(host, part.gone, now),
+            relay: false,
         };
-        send(host, &PeerMessage::Fleet(news), &targets);
+        let relayed = FleetNews {
+            relay: true,
+            ..news.clone()
+        };
+        send(host, &PeerMessage::Fleet(news), &targets.direct);
+        send(host, &PeerMessage::Fleet(relayed), &targets.relays);
     }
 }
 
@@ -229,7 +235,10 @@
         };
         match peer_message::from_bytes::<PeerMessage>(&buffer[..length]) {
             Ok(PeerMessage::Heartbeat(heartbeat)) => on_heartbeat(&host, &heartbeat, source),
-            Ok(PeerMessage::Fleet(news)) => on_fleet_news(&host, &news),
+            Ok(PeerMessage::Fleet(news)) => {
+                on_fleet_news(&host, &news);
+                relay_fleet_news(&host, news, source);
+            }
             Ok(PeerMessage::Hosts(news)) => host_gossip::on_host_news(&host, &news),
             Ok(PeerMessage::WhoIs(request)) => host_gossip::tell_who(&host, &request, source),
             Ok(PeerMessage::Who(records)) => host_gossip::on_who(&host, &records),
@@ -293,6 +302,24 @@
     catch_up::on_heartbeat(host, heartbeat);
 }
 
+/// Passes news of servers on to the own hall, if a watcher of another hall asks for it.
+fn relay_fleet_news<W: WireProtocol>(
+    host: &EntryHost<W>,
+    news: FleetNews,
+    source: net::SocketAddr,
+) {
+    if !news.relay {
+        return;
+    }
+    let mut targets = host.peers.borrow().hall_targets(&host.record());
+    targets.retain(|target| *target != source);
+    let news = FleetNews {
+        relay: false,
+        ..news
+    };
+    send(host, &PeerMessage::Fleet(news), &targets);
+}
+
 pub(super) fn on_fleet_news<W: WireProtocol>(host: &EntryHost<W>, news: &FleetNews) {
     let told = ToldHolds::from_gone(&news.gone, host.now());
     let whole = host.socket.partial.borrow_mut().on_part(news);
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -176,6 +176,8 @@
     pub changed: Vec<ServerObject>,
     /// Servers that are gone.
     pub gone: Vec<GoneServer>,
+    /// Whether who gets this passes it on to its hall.
+    pub relay: bool,
 }
 
 /// A server whose entry is gone from the store.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -18,7 +18,7 @@
 pub use self::grantors::GrantorPlace;
 pub use self::keepers::ENTRY_KEEPERS;
 pub use self::limit_keepers::{KeeperPlace, KeeperQuery};
-pub use self::targets::NEAR_TARGETS;
+pub use self::targets::{NEAR_TARGETS, NEWS_RELAYS, NewsTargets};
 pub use self::watchers::WATCHERS;
 use super::hash;
 use super::peer_message::{PeerHeartbeat, WatchState};
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IteratorRandom as _;
 
-use super::{HostRecord, PeerTable, REMOVE_MS};
+use super::{HostRecord, PeerEntry, PeerTable, REMOVE_MS};
 use crate::entry::hash;
 use crate::entry::peer_message::WatchState;
 use crate::timer::Moment;
@@ -27,6 +27,17 @@
 const START_TARGETS: usize = 3;
 /// Hosts of other regions that each heartbeat goes to.
 const FAR_TARGETS: usize = 2;
+/// Hosts of each other hall that pass news of servers on to their hall: one may have ended a moment ago.
+pub const NEWS_RELAYS: usize = 2;
+
+/// Where news of servers goes.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct NewsTargets {
+    /// Hosts that keep it.
+    pub direct: Vec<net::SocketAddr>,
+    /// Hosts that pass it on to the others of their hall.
+    pub relays: Vec<net::SocketAddr>,
+}
 
 impl PeerTable {
     /// Where a heartbeat goes in the own region: to some hosts, by whom the others hear of this one.
@@ -132,6 +143,49 @@
         targets.map(|peer| peer.record.heartbeat_address).collect()
     }
 
+    /// Where news of servers goes that `own` has seen in the store: each hall of the region is told by one of the region's
+    /// watchers, by two of its hosts, who pass it on. Bytes between halls are paid for, and each change concerns every
+    /// host: told to each of them by a watcher, they grew with changes times hosts.
+    #[must_use]
+    pub fn fleet_news_targets(&self, own: &HostRecord, now: Moment) -> NewsTargets {
+        let watchers = self.watcher_hashes(&own.region, now);
+        let own_hash = hash::of_name(&own.name);
+        let is_own_part = |hall: &str| {
+            let hall = hash::of_name(hall);
+            let own_rank = hash::mix(own_hash ^ hall);
+            let mut others = watchers.iter();
+            others.all(|watcher| own_rank <= hash::mix(watcher ^ hall))
+        };
+        let mut near: Vec<&PeerEntry> = self.near(&own.region).collect();
+        near.retain(|peer| is_own_part(&peer.record.hall));
+        near.sort_by_key(|peer| (&peer.record.hall, peer.record.watch_order()));
+        let silent_ms = self.silent_ms(&own.region);
+        let mut targets = NewsTargets::default();
+        for hall in near.chunk_by(|a, b| a.record.hall == b.record.hall) {
+            let is_own = hall.iter().any(|peer| peer.record.hall == own.hall);
+            if is_own || hall.len() <= NEWS_RELAYS {
+                targets.direct.extend(addresses(hall.iter().copied()));
+                continue;
+            }
+            let live = hall.iter().filter(|peer| peer.stays(now, silent_ms));
+            let relays: Vec<_> = addresses(live.copied().take(NEWS_RELAYS)).collect();
+            if relays.len() < NEWS_RELAYS {
+                targets.direct.extend(addresses(hall.iter().copied()));
+            } else {
+                targets.relays.extend(relays);
+            }
+        }
+        targets
+    }
+
+    /// The other hosts of the hall of `own`.
+    #[must_use]
+    pub fn hall_targets(&self, own: &HostRecord) -> Vec<net::SocketAddr> {
+        let near = self.near(&own.region);
+        let hall = near.filter(|peer| peer.record.hall == own.hall);
+        addresses(hall).collect()
+    }
+
     /// Another host to ask than `source`, which does not answer: a live one of the own region, else of
     /// any other.
     #[must_use]
@@ -168,3 +222,9 @@
         near.map(|peer| peer.record.heartbeat_address)
     }
 }
+
+fn addresses<'a>(
+    peers: impl Iterator<Item = &'a PeerEntry>,
+) -> impl Iterator<Item = net::SocketAddr> {
+    peers.map(|peer| peer.record.heartbeat_address)
+}
--- a/src/entry/self_report.rs
+++ b/src/entry/self_report.rs
@@ -74,6 +74,7 @@
             parts: 1,
             changed: difference.changed,
             gone: difference.gone,
+            relay: false,
         })
     }
 
