--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use super::order::{RolloutOrder, RolloutRecord, RolloutState, StoredRollout};
+use super::order::{RolloutOrder, RolloutRecord, RolloutState, StoredRollout, VersionTag};
 use super::plan::{LAST_CALL, PROVED_FOR, RolloutStep, VersionRule};
 use super::tally::ServiceTally;
 use crate::timer::Moment;
@@ -62,6 +62,17 @@
     pub state: RolloutState,
 }
 
+/// How a request ended on a server.
+#[derive(Debug, Clone, Copy)]
+pub struct RolloutAnswer<'a> {
+    /// Its route.
+    pub route: &'a str,
+    /// The server's version.
+    pub version: VersionTag,
+    /// Whether it failed, or took several times as long as usual.
+    pub is_bad: bool,
+}
+
 #[derive(Debug)]
 struct TimedReport {
     report: RolloutReport,
@@ -444,14 +455,3 @@
         }
     }
 }
-
-/// How a request ended on a server.
-#[derive(Debug, Clone, Copy)]
-pub struct RolloutAnswer<'a> {
-    /// Its route.
-    pub route: &'a str,
-    /// The server's version.
-    pub version: super::order::VersionTag,
-    /// Whether it failed, or took several times as long as usual.
-    pub is_bad: bool,
-}
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -18,6 +18,7 @@
 /// How often hosts report, in milliseconds.
 const REPORT_MS: u64 = 200;
 const REGIONS: u64 = 3;
+const ROUTES: [&str; 4] = ["a", "b", "c", "d"];
 
 fn stored(state: Option<RolloutState>) -> StoredRollout {
     StoredRollout {
@@ -57,82 +58,129 @@
     requests: usize,
 }
 
+/// A request that a server works on.
+#[derive(Debug, Clone, Copy)]
+struct OpenRequest {
+    ends_ms: u64,
+    region: usize,
+    route: &'static str,
+    is_new: bool,
+    is_bad: bool,
+}
+
 /// One host that decides for each of three regions, each with a third of 600 requests a second.
+struct RolloutPlay {
+    new: NewVersion,
+    random: SmallRng,
+    tables: Vec<RolloutTable>,
+    open: Vec<OpenRequest>,
+    outcome: Outcome,
+}
+
 fn play(new: NewVersion, seed: u64) -> Outcome {
-    const STEP_MS: u64 = 5;
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut tables: Vec<RolloutTable> = (0..REGIONS).map(|_| RolloutTable::default()).collect();
-    for table in &mut tables {
-        table.on_list(vec![(stored(None), 8)], 8, Moment(0));
-    }
-    let mut open: Vec<(u64, usize, usize, bool, bool)> = Vec::new();
-    let mut outcome = Outcome {
-        state: RolloutState::Running,
-        at_ms: 0,
-        exposed: 0,
-        requests: 0,
-    };
-    for now_ms in (0..OVER_MS).step_by(STEP_MS as usize) {
-        let now = Moment(now_ms);
-        for (region, table) in tables.iter().enumerate() {
-            let route = random.random_range(0..4);
-            outcome.requests += 1;
-            let rule = table.rule_of("desk", random.random(), CANARY_SHARE, false);
-            let is_new = rule.allows(version("v2")) && rule != VersionRule::Any;
-            outcome.exposed += usize::from(is_new);
-            let may_be_bad = is_new && now_ms >= new.bad_from_ms;
-            let is_bad =
-                may_be_bad && (!new.on_one_route || route == 0) && random.random_bool(new.bad_part);
-            open.push((now_ms + WORK_MS, region, route, is_new, is_bad));
+    const STEP_MS: usize = 5;
+    let mut play = RolloutPlay::start(new, seed);
+    for now_ms in (0..OVER_MS).step_by(STEP_MS) {
+        for region in 0..play.tables.len() {
+            play.send(region, now_ms);
         }
-        open.retain(|(ends_ms, region, route, is_new, is_bad)| {
-            if *ends_ms > now_ms {
-                return true;
-            }
-            let answer = RolloutAnswer {
-                route: ["a", "b", "c", "d"][*route],
-                version: version(if *is_new { "v2" } else { "v1" }),
-                is_bad: *is_bad,
-            };
-            tables[*region].on_answer("desk", &answer);
-            false
-        });
+        play.answer(now_ms);
         if now_ms % REPORT_MS == 0 {
-            exchange(&mut tables, &open, now);
+            play.exchange(Moment(now_ms));
         }
-        let states: Vec<_> = tables
-            .iter()
-            .map(|table| table.news(now).orders[0].state)
-            .collect();
-        if states
-            .iter()
-            .all(|state| *state == states[0] && state.is_final())
-        {
-            outcome.state = states[0];
-            outcome.at_ms = now_ms;
+        if let Some(state) = play.final_state(Moment(now_ms)) {
+            play.outcome.state = state;
+            play.outcome.at_ms = now_ms;
             break;
         }
     }
-    outcome
+    play.outcome
 }
 
-/// Each region decides, and tells the others what it counts and knows.
-fn exchange(tables: &mut [RolloutTable], open: &[(u64, usize, usize, bool, bool)], now: Moment) {
-    for region in 0..tables.len() {
-        let others = open.iter();
-        let others = others.filter(|(_, at, _, is_new, _)| *at == region && !is_new);
-        let others_open = u32::try_from(others.count()).expect("a few");
-        let _change = tables[region].decide("desk", others_open, tables.len(), now);
-        let source = region as u64;
-        let report = tables[region].region_report("desk", source, others_open, now);
-        let news = tables[region].news(now);
-        for (other, table) in tables.iter_mut().enumerate() {
-            if other != region {
-                table.on_region_report(report.clone().expect("an order"), now);
-                table.on_news(&news, now);
+impl RolloutPlay {
+    fn start(new: NewVersion, seed: u64) -> Self {
+        let start_table = |_| {
+            let mut table = RolloutTable::default();
+            table.on_list(vec![(stored(None), 8)], 8, Moment(0));
+            table
+        };
+        Self {
+            new,
+            random: SmallRng::seed_from_u64(seed),
+            tables: (0..REGIONS).map(start_table).collect(),
+            open: Vec::new(),
+            outcome: Outcome {
+                state: RolloutState::Running,
+                at_ms: 0,
+                exposed: 0,
+                requests: 0,
+            },
+        }
+    }
+
+    /// A caller of a region asks.
+    fn send(&mut self, region: usize, now_ms: u64) {
+        let route = ROUTES[self.random.random_range(0..ROUTES.len())];
+        let point = self.random.random();
+        let rule = self.tables[region].rule_of("desk", point, CANARY_SHARE, false);
+        let is_new = rule == VersionRule::Only(version("v2"));
+        let may_be_bad = is_new
+            && now_ms >= self.new.bad_from_ms
+            && (!self.new.on_one_route || route == ROUTES[0]);
+        self.outcome.requests += 1;
+        self.outcome.exposed += usize::from(is_new);
+        self.open.push(OpenRequest {
+            ends_ms: now_ms + WORK_MS,
+            region,
+            route,
+            is_new,
+            is_bad: may_be_bad && self.random.random_bool(self.new.bad_part),
+        });
+    }
+
+    /// Servers answer what they have worked on for long enough.
+    fn answer(&mut self, now_ms: u64) {
+        let (ended, open): (Vec<_>, Vec<_>) = self
+            .open
+            .drain(..)
+            .partition(|request| request.ends_ms <= now_ms);
+        self.open = open;
+        for request in ended {
+            let answer = RolloutAnswer {
+                route: request.route,
+                version: version(if request.is_new { "v2" } else { "v1" }),
+                is_bad: request.is_bad,
+            };
+            self.tables[request.region].on_answer("desk", &answer);
+        }
+    }
+
+    /// Each region decides, and tells the others what it counts and knows.
+    fn exchange(&mut self, now: Moment) {
+        let count = self.tables.len();
+        for region in 0..count {
+            let others = self.open.iter();
+            let others = others.filter(|request| request.region == region && !request.is_new);
+            let others_open = u32::try_from(others.count()).expect("a few");
+            let _change = self.tables[region].decide("desk", others_open, count, now);
+            let report = self.tables[region].region_report("desk", region as u64, others_open, now);
+            let news = self.tables[region].news(now);
+            for (other, table) in self.tables.iter_mut().enumerate() {
+                if other != region {
+                    table.on_region_report(report.clone().expect("an order"), now);
+                    table.on_news(&news, now);
+                }
             }
         }
     }
+
+    /// What all regions hold for decided.
+    fn final_state(&self, now: Moment) -> Option<RolloutState> {
+        let states = self.tables.iter();
+        let mut states = states.map(|table| table.news(now).orders[0].state);
+        let first = states.next().filter(|state| state.is_final())?;
+        states.all(|state| state == first).then_some(first)
+    }
 }
 
 const GOOD: NewVersion = NewVersion {
