--- a/src/entry/rollout_role.rs
+++ b/src/entry/rollout_role.rs
@@ -138,7 +138,7 @@
             None => rand::Rng::random(&mut *self.random.borrow_mut()),
         };
         let canary_share = self.settings().bounds.canary_share.unwrap_or(0.0);
-        table.rule_of(service, point, canary_share, is_repeat)
+        table.rule_of(service, point, canary_share, is_repeat, self.now())
     }
 
     fn decides_rollouts(&self, now: Moment) -> bool {
@@ -262,7 +262,7 @@
             match follow::within_limit(store.record_rollout(&record)).await {
                 Ok(revision) => {
                     let mut table = host.rollouts.table.borrow_mut();
-                    table.on_recorded(&record, revision);
+                    table.on_recorded(&record, revision, now);
                     pause_ms = follow::FIRST_PAUSE_MS;
                 }
                 Err(fault) => {
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -7,6 +7,9 @@
 use super::tally::ServiceTally;
 use crate::timer::Moment;
 
+/// Servers of other versions stop when an order is complete; for this long, in milliseconds, hosts may still know them.
+/// Afterwards servers of any version that come are good.
+const STOPPING_MS: u64 = 10_000;
 /// What a host or region has reported counts as present for this long, in milliseconds.
 const REPORT_VALID_MS: u64 = 2_000;
 
@@ -163,10 +166,12 @@
     }
 
     /// The store shows what was recorded. Another host may have decided otherwise than this one.
-    fn on_stored(&mut self, state: Option<RolloutState>) {
+    fn on_stored(&mut self, state: Option<RolloutState>, now: Moment) {
         self.stored = self.stored.max(state);
-        if let Some(state) = state.filter(|state| state.is_final()) {
+        let state = state.filter(|state| state.is_final());
+        if let Some(state) = state.filter(|state| *state != self.state) {
             self.state = state;
+            self.state_since = now;
         }
     }
 
@@ -244,7 +249,7 @@
         if let Some(known) = self.orders.get_mut(&service) {
             if known.order.is_same(&stored.order) {
                 known.revision = known.revision.max(revision);
-                known.on_stored(stored.state);
+                known.on_stored(stored.state, now);
                 return;
             }
             if known.revision > revision {
@@ -310,11 +315,16 @@
         point: f64,
         canary_share: f64,
         is_repeat: bool,
+        now: Moment,
     ) -> VersionRule {
         let Some(open) = self.orders.get(service) else {
             return VersionRule::Any;
         };
         let target = open.order.target_tag();
+        let is_over = now.since(open.state_since) > STOPPING_MS;
+        if open.state == RolloutState::Complete && is_over {
+            return VersionRule::Any;
+        }
         let has_moved = open.step == RolloutStep::All;
         let is_canary = !is_repeat && point < open.step.share(canary_share);
         let goes_there = match open.state {
@@ -446,11 +456,11 @@
     }
 
     /// A state was recorded; the object stands at `revision` now.
-    pub fn on_recorded(&mut self, record: &RolloutRecord, revision: u64) {
+    pub fn on_recorded(&mut self, record: &RolloutRecord, revision: u64, now: Moment) {
         if let Some(open) = self.orders.get_mut(&record.order.service)
             && open.order.is_same(&record.order)
         {
-            open.on_stored(Some(record.state));
+            open.on_stored(Some(record.state), now);
             open.revision = open.revision.max(revision);
         }
     }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -122,7 +122,7 @@
     fn send(&mut self, region: usize, now_ms: u64) {
         let route = ROUTES[self.random.random_range(0..ROUTES.len())];
         let point = self.random.random();
-        let rule = self.tables[region].rule_of("desk", point, CANARY_SHARE, false);
+        let rule = self.tables[region].rule_of("desk", point, CANARY_SHARE, false, Moment(now_ms));
         let is_new = rule == VersionRule::Only(version("v2"));
         let may_be_bad = is_new
             && now_ms >= self.new.bad_from_ms
@@ -249,7 +249,7 @@
     told.orders[0].state = RolloutState::Reverted;
     table.on_order(stored(Some(RolloutState::Complete)), 9, Moment(2));
     table.on_news(&told, Moment(3));
-    let rule = table.rule_of("desk", 0.99, CANARY_SHARE, false);
+    let rule = table.rule_of("desk", 0.99, CANARY_SHARE, false, Moment(3));
     assert_eq!(rule, VersionRule::Only(version("v2")));
     assert!(table.unrecorded(0, Moment(4)).is_empty());
 }
@@ -259,15 +259,15 @@
     let mut table = RolloutTable::default();
     table.on_list(vec![(stored(None), 8)], 8, Moment(0));
     assert_eq!(
-        table.rule_of("desk", 0.0, CANARY_SHARE, false),
+        table.rule_of("desk", 0.0, CANARY_SHARE, false, Moment(1)),
         VersionRule::Only(version("v2"))
     );
     assert_eq!(
-        table.rule_of("desk", 0.0, CANARY_SHARE, true),
+        table.rule_of("desk", 0.0, CANARY_SHARE, true, Moment(1)),
         VersionRule::Except(version("v2"))
     );
     assert_eq!(
-        table.rule_of("vault", 0.0, CANARY_SHARE, true),
+        table.rule_of("vault", 0.0, CANARY_SHARE, true, Moment(1)),
         VersionRule::Any
     );
 }
@@ -283,3 +283,20 @@
     assert_eq!(news.orders[0].step, RolloutStep::All);
     assert_eq!(news.orders[0].age_ms, OVER_MS * 9 / 10);
 }
+
+/// Servers of a third version come later without an order, as in a release.
+#[test]
+fn an_order_that_is_complete_keeps_no_later_version_from_requests() {
+    let mut table = RolloutTable::default();
+    table.on_list(
+        vec![(stored(Some(RolloutState::Complete)), 8)],
+        8,
+        Moment(0),
+    );
+    let rule_at = |at| table.rule_of("desk", 0.5, CANARY_SHARE, false, Moment(at));
+    assert!(
+        !rule_at(500).allows(version("v1")),
+        "its servers are stopping"
+    );
+    assert!(rule_at(60_000).allows(version("v3")));
+}
