Roll-outs, offers and what is seen of servers: modules of one job each

Moved, not changed: what hosts say of roll-outs and one order stand beside the table of orders; how an offer ended stands beside the offers; what own requests show of a server stands beside the server.

--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -1,9 +1,10 @@
 //! One backend server as this host sees it: what the store says of it, and what own requests have
 //! shown of its load and pace.
 
-use std::{cell, collections, net, rc};
+use std::{cell, net, rc};
 
 use super::hash;
+use super::seen_server::{SeenPace, SeenServer, ToldLoad};
 use super::server::{ServerLoad, ServerRecord, ServerState};
 use super::server_notice::{ServerNotice, ServerStanding};
 use super::shared_names::SharedNames;
@@ -16,10 +17,6 @@
 /// Weight of the newest answer in the moving average of the pace; a share. About the last seven
 /// answers count.
 const AVERAGE_WEIGHT: f64 = 0.15;
-/// What was seen of a server's pace counts for less with age; after this time, in milliseconds, for
-/// about a third. A server that seemed slow gets no work, so only time can clear it; with the
-/// usual slow spells of five to ten seconds it is tried again once or twice within one.
-const PACE_FADE_MS: f64 = 3_000.0;
 /// Failures in a row that take a server out of service. One that loses a third of its answers fails
 /// three times in a row within a minute at a request a second, and its objects would then meet
 /// servers that don't know them; six in a row it hardly ever does.
@@ -47,22 +44,6 @@
     seen: Option<Box<SeenServer>>,
 }
 
-/// What own requests have shown of a server, and what it told with its answers.
-#[derive(Debug, Default)]
-struct SeenServer {
-    notice: ServerNotice,
-    told: Option<ToldLoad>,
-    pace: Option<SeenPace>,
-    /// The time of the answer before, as a multiple of what is usual.
-    last_share: Option<f64>,
-    failures: u32,
-    ejected_until: Option<Moment>,
-    ejections: u32,
-    cold_sends: collections::VecDeque<Moment>,
-    /// Hashes of the objects that this host lately sent there, the oldest first.
-    objects: collections::VecDeque<u64>,
-}
-
 impl ServerView {
     /// Whether it works, as far as the store and its address say.
     const fn is_in_service(&self) -> bool {
@@ -80,29 +61,6 @@
     }
 }
 
-/// A load that a server told, and how much of it was this host's.
-#[derive(Debug, Clone, Copy)]
-struct ToldLoad {
-    load: ServerLoad,
-    own: u32,
-    at: Moment,
-}
-
-/// How long a server took as a multiple of what is usual, averaged up to a moment.
-#[derive(Debug, Clone, Copy)]
-struct SeenPace {
-    share: f64,
-    at: Moment,
-}
-
-impl SeenPace {
-    /// What it still says at `now`: it fades towards the usual pace.
-    fn faded(self, now: Moment) -> f64 {
-        let age_ms = now.since(self.at) as f64;
-        1.0 + (self.share - 1.0) * (-age_ms / PACE_FADE_MS).exp()
-    }
-}
-
 /// One incarnation of a backend server.
 #[derive(Debug)]
 pub struct FleetServer {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -73,6 +73,7 @@
 mod request_failure;
 pub mod rollout_role;
 pub mod route_times;
+mod seen_server;
 pub mod self_report;
 mod send_gate;
 pub mod server;
--- a/src/entry/offers.rs
+++ b/src/entry/offers/mod.rs
@@ -1,26 +1,22 @@
 //! Offers a caller's request to one backend server after the other, until one answers or nothing
-//! more may be tried.
+//! more may be tried. What follows from how an offer ended stands in `ends`.
 
-use std::rc;
+mod ends;
 
-use serde_json::json;
+use std::rc;
 
 use super::choice::{self, ChoiceQuery, ChosenServer, NoServer, ServerChoice};
-use super::exchange::{self, LossCause, OfferEnd, OfferTerms, ServerAnswer};
+use super::exchange::{self, OfferEnd, OfferTerms, ServerAnswer};
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::offer_record::OfferRecord;
 use super::open_request::OpenRequest;
-use super::quarantine_role::{self, SuspectAdmission};
+use super::quarantine_role::SuspectAdmission;
 use super::request_failure::RequestFailure;
-use super::rollout_role;
-use super::route_times::AnswerSample;
 use super::server_limit;
 use super::server_limit::right::SendRight;
 use super::wire::WireProtocol;
-use crate::event::EventCode;
 use crate::rollout::plan::VersionRule;
-use crate::rollout::table::RolloutAnswer;
 use crate::timer::Moment;
 
 /// A request that was not sent for want of a connection may be offered to this many servers.
@@ -28,10 +24,6 @@
 /// With less time left than this, in milliseconds, a request is not offered: no answer would come
 /// back in time.
 const LEAST_TIME_MS: u64 = 20;
-/// When a request may come back whose last refusal came from a server with free slots, in
-/// milliseconds: at once, since nothing must become free first.
-const SHED_COME_BACK_MS: u64 = 10;
-
 /// A request's answer and the server that gave it.
 #[derive(Debug)]
 pub(super) struct AnsweredRequest {
@@ -270,154 +262,4 @@
         }
         Ok(None)
     }
-
-    /// Tells how it ended to the roll-out that the server's service may be in.
-    fn count_for_rollout(
-        &self,
-        server: &FleetServer,
-        end: &OfferEnd,
-        began: Moment,
-        known_object: bool,
-    ) {
-        let now = self.host.now();
-        let expected_ms = if known_object {
-            self.usual_ms()
-        } else {
-            self.first_ms()
-        };
-        let took_ms = now.since(began);
-        // What comes within the route's goal is good, however fast others are.
-        let is_slow = !server.is_cold(now)
-            && took_ms > self.open.route.goal_ms
-            && took_ms as f64 > expected_ms * rollout_role::SLOW_FACTOR;
-        let is_bad = match end {
-            OfferEnd::Answered(answer) => answer.head.status.is_server_error() || is_slow,
-            OfferEnd::TimedOut | OfferEnd::Lost(_) => true,
-            OfferEnd::NotSent
-            | OfferEnd::Withheld(_)
-            | OfferEnd::OutOfTime
-            | OfferEnd::NotRun { .. }
-            | OfferEnd::OtherServer => return,
-        };
-        let answer = RolloutAnswer {
-            route: &self.open.route.name,
-            version: server.version,
-            is_bad,
-        };
-        self.host.rollouts.on_answer(&server.service, &answer);
-    }
-
-    fn on_timeout(
-        &self,
-        server: &FleetServer,
-        began: Moment,
-        known_object: bool,
-    ) -> RequestFailure {
-        self.note_offer(server, "timed out");
-        let now = self.host.now();
-        let usual_ms = if known_object {
-            self.usual_ms()
-        } else {
-            self.first_ms()
-        };
-        server.on_pace(now.since(began) as f64 / usual_ms, now);
-        self.host.on_server_failure(server);
-        RequestFailure::TIMED_OUT
-    }
-
-    fn on_answer(&self, server: &FleetServer, began: Moment, known_object: bool) {
-        let sample = AnswerSample {
-            route: &self.open.route.name,
-            millis: self.host.now().since(began),
-            known_object,
-        };
-        self.host.on_answer_time(server, &sample);
-    }
-
-    fn on_not_sent(&self, server: &FleetServer) {
-        self.note_offer(server, "not reached");
-        self.host.on_server_unreachable(server);
-    }
-
-    /// A server turned it away. One with free slots that wants no rest is asked once more: it may take the next one,
-    /// and another server would have to do a first run on the object.
-    fn on_not_run(&mut self, server: &FleetServer, status: http::StatusCode, had_room: bool) {
-        self.host.metrics.borrow_mut().shed += 1;
-        self.note_offer(server, status.as_str());
-        if !had_room {
-            self.on_sent(self.not_run());
-            return;
-        }
-        self.on_sent(RequestFailure::not_run(SHED_COME_BACK_MS));
-        let wants_rest = server.notice().is_resting(self.host.now());
-        if !self.asked_again && !wants_rest {
-            self.asked_again = true;
-            self.tried.retain(|id| **id != *server.id);
-        }
-    }
-
-    fn on_other_server(&mut self, server: &FleetServer) {
-        self.note_offer(server, "another server has the address");
-        server.on_displaced();
-        self.on_sent(self.not_run());
-    }
-
-    fn on_lost(
-        &mut self,
-        server: &rc::Rc<FleetServer>,
-        cause: LossCause,
-    ) -> Result<(), RequestFailure> {
-        self.note_offer(server, cause.as_str());
-        self.host.on_server_failure(server);
-        if cause.has_broken() {
-            quarantine_role::on_broken(self.host, server, self.open.fingerprint());
-        }
-        let failure = RequestFailure::lost(cause.as_str());
-        if !self.open.forward.may_repeat {
-            return Err(failure);
-        }
-        self.on_sent(failure);
-        Ok(())
-    }
-
-    const fn on_sent(&mut self, failure: RequestFailure) {
-        self.sent += 1;
-        self.last = Some(failure);
-    }
-
-    fn not_run(&self) -> RequestFailure {
-        RequestFailure::not_run(self.usual_ms() as u64)
-    }
-
-    fn usual_ms(&self) -> f64 {
-        let route = &self.open.route;
-        self.host.usual_ms(&route.name, route.goal_ms)
-    }
-
-    fn first_ms(&self) -> f64 {
-        let route = &self.open.route;
-        self.host.first_ms(&route.name, route.goal_ms)
-    }
-
-    fn note_offer(&self, server: &FleetServer, result: &str) {
-        let host = self.host;
-        let open = self.open;
-        host.metrics.borrow_mut().on_offer_failed(result);
-        let now = host.now();
-        let fields = json!({
-            "id": open.forward.id,
-            "route": open.route.name,
-            "fingerprint": open.fingerprint().to_string(),
-            "server": server.id,
-            "hall": server.hall,
-            "result": result,
-            "after_ms": now.since(open.arrived),
-            "cold": server.is_cold(now),
-            "own_in_flight": server.in_flight(),
-            "version": host.configuration_version(),
-            "fleet_revision": host.fleet.borrow().revision(),
-            "expected_load": server.expected_load(now),
-        });
-        host.note(EventCode::OfferFailed, fields);
-    }
 }
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -10,7 +10,7 @@
 use super::quarantine::message::{QuarantineDigest, QuarantineMessage, SuspectRecord};
 use super::server::ServerObject;
 use super::server_limit::message::{LimitWord, ServerLimitMessage};
-use crate::rollout::table::{RolloutNews, RolloutReport};
+use crate::rollout::message::{RolloutNews, RolloutReport};
 
 /// The number of the format. Hosts pass over messages of another one, so that two versions of the
 /// program can run side by side while it is replaced.
--- a/src/entry/rollout_role.rs
+++ b/src/entry/rollout_role.rs
@@ -15,11 +15,10 @@
 use super::store::{ChangeBatch, ObjectContent, ObjectStore, StoreFault, StoredObject};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::rollout::message::{RolloutAnswer, RolloutChange, RolloutNews, RolloutReport};
 use crate::rollout::order::{RolloutRecord, VersionTag};
 use crate::rollout::plan::VersionRule;
-use crate::rollout::table::{
-    RolloutAnswer, RolloutChange, RolloutNews, RolloutReport, RolloutTable,
-};
+use crate::rollout::table::RolloutTable;
 use crate::timer::Moment;
 
 /// An answer that took this many times as long as usual counts as bad.
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -5,6 +5,8 @@
 //! of its region, and that one widens the part or gives the version up. Decisions only, driven by messages and time;
 //! `entry::rollout_role` joins them to sockets, clock and store.
 
+pub mod message;
+mod open_rollout;
 pub mod order;
 pub mod plan;
 pub mod table;
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -1,8 +1,9 @@
 //! How traffic moves to another version, and when it is taken back: decisions of three regions under simulated time.
 
+use ledgespool::rollout::message::RolloutAnswer;
 use ledgespool::rollout::order::{RolloutOrder, RolloutState, StoredRollout, VersionTag};
 use ledgespool::rollout::plan::{RolloutStep, VersionRule};
-use ledgespool::rollout::table::{RolloutAnswer, RolloutTable};
+use ledgespool::rollout::table::RolloutTable;
 use ledgespool::timer::Moment;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
