--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -145,7 +145,7 @@
 
     /// Where news of servers goes that `own` has seen in the store: each hall of the region is told by one of the region's
     /// watchers, by two of its hosts, who pass it on. Bytes between halls are paid for, and each change concerns every
-    /// host: told to each of them by a watcher, they grew with changes times hosts.
+    /// host: told to each of them by a watcher, they would grow with changes times hosts.
     #[must_use]
     pub fn fleet_news_targets(&self, own: &HostRecord, now: Moment) -> NewsTargets {
         let watchers = self.watcher_hashes(&own.region, now);
--- a/src/entry/rollout_role.rs
+++ b/src/entry/rollout_role.rs
@@ -23,8 +23,8 @@
 
 /// An answer that took this many times as long as usual counts as bad.
 pub(super) const SLOW_FACTOR: f64 = 3.0;
-/// How often hosts report, in milliseconds: a bad version gets all requests for a twentieth of an order's time at most
-/// before it must be found out.
+/// How often hosts report, in milliseconds: a fraction of the time for which all requests go to a version before its
+/// order is complete.
 const REPORT_MS: u64 = 200;
 /// Hosts that decide for their regions record in turn, so that one call does: each waits this much longer than the one
 /// before, in milliseconds.
--- a/src/entry/watch_role.rs
+++ b/src/entry/watch_role.rs
@@ -35,7 +35,7 @@
 #[derive(Debug, Default)]
 pub struct WatchRole {
     watches: cell::Cell<bool>,
-    /// Wakes the tasks that follow a kind: polling took most wake-ups of a host that leaves the store to others.
+    /// Wakes the tasks that follow a kind, which wait while this host leaves the store to others.
     began: Notify,
     lost: cell::RefCell<collections::HashSet<ObjectKind>>,
     /// Where in the order of hosts that list the store this one stands, from 0 to 1.
