What a server says in an answer that comes while its entry is gone holds when the entry is back

What callers saw: requests go to a server that has said that it leaves, and are cut when it ends.

Cause: what a server told is kept from the moment at which its entry goes. An answer under way at that moment comes later and changed only the server that was given up; when the entry lapsed with the store and came back, the same start was as one that had said nothing.

Now such a word goes to the same start of the server, if it is back, or to what is kept of it.

--- a/src/entry/answer_claims.rs
+++ b/src/entry/answer_claims.rs
@@ -84,6 +84,9 @@
         self.on_limit_claim(server, claims);
         self.on_leaving_claim(server, claims);
         self.on_rest_claim(server, claims.rest());
+        if server.is_gone() {
+            self.fleet.borrow_mut().on_late_notice(server, now);
+        }
     }
 
     fn on_limit_claim(&self, server: &FleetServer, claims: &AnswerClaims<'_>) {
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -110,6 +110,16 @@
         self.entries.get(id).map(|entry| &entry.server)
     }
 
+    /// A server told something of itself with an answer that came when its entry was gone: the same start of it may come
+    /// back, or be back already.
+    pub fn on_late_notice(&mut self, server: &FleetServer, now: Moment) {
+        let notice = server.notice();
+        match self.index.of_start(server.start_hash) {
+            Some(current) => current.change_notice(|known| known.join(notice)),
+            None => self.past_notices.put(server.start_hash, notice, now),
+        }
+    }
+
     /// Servers that are kept although their entries are missing.
     pub(super) fn missing(&self) -> impl Iterator<Item = &rc::Rc<FleetServer>> {
         let missing = self.missing.iter();
--- a/src/entry/server_notice.rs
+++ b/src/entry/server_notice.rs
@@ -55,6 +55,13 @@
         !std::mem::replace(&mut self.unreadable, true)
     }
 
+    /// The same start of the server has also told this.
+    pub fn join(&mut self, other: Self) {
+        let earlier = [self.leaving_since, other.leaving_since];
+        self.leaving_since = earlier.into_iter().flatten().min();
+        self.rest_until = self.rest_until.max(other.rest_until);
+    }
+
     /// Whether it told anything that holds on.
     #[must_use]
     pub const fn says_something(&self) -> bool {
