Roll-outs: what the deciding host gets does not grow with the hosts of its region

What would be seen: while traffic moves, every host of a region reported five times a second to one of them: 1,645 datagrams of 100 bytes a second at 329 hosts (arithmetic), 164 KB/s and some 3 % of a core, twice that at twice the hosts.

Cause: a fixed time between reports, found when the constants of the change were held against twice the fleet. Now a host reports at once what may change a decision (a bad answer of the new version; the last request has left the others), and everything else in its turn, a hundred a second for the region; how long a report counts goes with the turn.

Why the verdict holds: bad answers are told as before.

--- a/src/entry/rollout_role.rs
+++ b/src/entry/rollout_role.rs
@@ -17,15 +17,13 @@
 use crate::event::EventCode;
 use crate::rollout::message::{RolloutAnswer, RolloutChange, RolloutNews, RolloutReport};
 use crate::rollout::order::{RolloutRecord, VersionTag};
+use crate::rollout::pace;
 use crate::rollout::plan::VersionRule;
-use crate::rollout::table::RolloutTable;
+use crate::rollout::table::{RegionView, RolloutTable};
 use crate::timer::Moment;
 
 /// An answer that took this many times as long as usual counts as bad.
 pub(super) const SLOW_FACTOR: f64 = 3.0;
-/// How often hosts report, in milliseconds: a fraction of the time for which all requests go to a version before its
-/// order is complete.
-const REPORT_MS: u64 = 200;
 /// Hosts that decide for their regions record in turn, so that one call does: each waits this much longer than the one
 /// before, in milliseconds.
 const RECORD_TURN_MS: u64 = 1_000;
@@ -147,7 +145,7 @@
     /// Reports what was counted, or decides, for each order whose traffic is being moved.
     pub(super) fn on_rollout_tick(&self) {
         let now = self.now();
-        let is_early = now.since(self.rollouts.reported.get()) < REPORT_MS;
+        let is_early = now.since(self.rollouts.reported.get()) < pace::REPORT_MS;
         if self.rollouts.table.borrow().is_empty() || is_early {
             return;
         }
@@ -180,24 +178,35 @@
     }
 
     fn report_rollout(&self, service: &str, others_open: u32, decider: net::SocketAddr) {
-        let source = hash::of_name(&self.settings().name);
-        let table = self.rollouts.table.borrow();
-        if let Some(report) = table.own_report(service, source, others_open) {
+        let settings = self.settings();
+        let source = hash::of_name(&settings.name);
+        let hosts = self.peers.borrow().region_size(&settings.region);
+        let now = self.now();
+        let mut table = self.rollouts.table.borrow_mut();
+        let report = table.own_report(service, source, others_open, hosts, now);
+        drop(table);
+        if let Some(report) = report {
             gossip::send(self, &PeerMessage::RolloutReport(report), &[decider]);
         }
     }
 
     fn decide_rollout(&self, service: &str, others_open: u32, now: Moment) {
         let region = self.settings().region.clone();
-        let (region_count, targets) = {
+        let (view, targets) = {
             let peers = self.peers.borrow();
-            let others = peers.other_live_regions(&region, now).len();
-            (others + 1, peers.relay_targets(&region, now))
+            // A handful of regions.
+            let others = peers.other_live_regions(&region, now).len() as u32;
+            let view = RegionView {
+                others_open,
+                hosts: peers.region_size(&region),
+                regions: others + 1,
+            };
+            (view, peers.relay_targets(&region, now))
         };
         let mut table = self.rollouts.table.borrow_mut();
-        let change = table.decide(service, others_open, region_count, now);
+        let change = table.decide(service, view, now);
         let source = hash::of_name(&region);
-        let report = table.region_report(service, source, others_open, now);
+        let report = table.region_report(service, source, view, now);
         drop(table);
         if let Some(report) = report {
             gossip::send(self, &PeerMessage::RegionRollout(report), &targets);
--- a/src/rollout/mod.rs
+++ b/src/rollout/mod.rs
@@ -8,6 +8,7 @@
 pub mod message;
 mod open_rollout;
 pub mod order;
+pub mod pace;
 pub mod plan;
 pub mod table;
 pub mod tally;
--- a/src/rollout/open_rollout.rs
+++ b/src/rollout/open_rollout.rs
@@ -4,13 +4,11 @@
 
 use super::message::{RolloutProgress, RolloutReport};
 use super::order::{RolloutOrder, RolloutState, StoredRollout};
+use super::pace::{self, ReportPace};
 use super::plan::{LAST_CALL, PROVED_FOR, RolloutStep};
 use super::tally::ServiceTally;
 use crate::timer::Moment;
 
-/// What a host or region has reported counts as present for this long, in milliseconds.
-const REPORT_VALID_MS: u64 = 2_000;
-
 #[derive(Debug)]
 struct TimedReport {
     report: RolloutReport,
@@ -38,9 +36,15 @@
         tally
     }
 
-    pub(super) fn present(&self, now: Moment) -> impl Iterator<Item = &RolloutReport> {
+    /// The reports that are not too old where `sources` report in turn.
+    pub(super) fn present(
+        &self,
+        sources: u32,
+        now: Moment,
+    ) -> impl Iterator<Item = &RolloutReport> {
+        let valid_ms = pace::valid_ms(sources);
         let timed = self.reports.values();
-        let present = timed.filter(move |timed| now.since(timed.at) <= REPORT_VALID_MS);
+        let present = timed.filter(move |timed| now.since(timed.at) <= valid_ms);
         present.map(|timed| &timed.report)
     }
 }
@@ -59,6 +63,7 @@
     pub(super) state_since: Moment,
     pub(super) stored: Option<RolloutState>,
     pub(super) own: ServiceTally,
+    pub(super) own_pace: ReportPace,
     pub(super) hosts: ReportList,
     pub(super) regions: ReportList,
 }
@@ -76,6 +81,7 @@
             state_since: now,
             stored: stored.state,
             own: ServiceTally::default(),
+            own_pace: ReportPace::default(),
             hosts: ReportList::default(),
             regions: ReportList::default(),
         }
@@ -122,7 +128,7 @@
     }
 
     /// What the reports of all hosts say.
-    pub(super) fn judge(&self, others_open: u32, region_count: usize, now: Moment) -> RolloutState {
+    pub(super) fn judge(&self, others_open: u32, region_count: u32, now: Moment) -> RolloutState {
         let mut tally = self.hosts.tally();
         tally.add(&self.own);
         tally.add(&self.regions.tally());
@@ -134,8 +140,8 @@
         let is_proved = self
             .all_since
             .is_some_and(|since| now.since(since) as f64 >= proved_ms);
-        let regions: Vec<_> = self.regions.present(now).collect();
-        let have_moved = regions.len() + 1 >= region_count
+        let regions: Vec<_> = self.regions.present(region_count, now).collect();
+        let have_moved = regions.len() + 1 >= region_count as usize
             && regions.iter().all(|region| region.step == RolloutStep::All);
         let open = others_open + regions.iter().map(|region| region.others_open).sum::<u32>();
         if is_proved && have_moved && (open == 0 || age >= LAST_CALL) {
--- a/src/rollout/table.rs
+++ b/src/rollout/table.rs
@@ -5,6 +5,7 @@
 use super::message::{RolloutAnswer, RolloutChange, RolloutNews, RolloutReport};
 use super::open_rollout::OpenRollout;
 use super::order::{RolloutOrder, RolloutRecord, RolloutState, StoredRollout};
+use super::pace::ReportMark;
 use super::plan::{RolloutStep, VersionRule};
 use crate::timer::Moment;
 
@@ -12,6 +13,25 @@
 /// Afterwards servers of any version that come are good.
 const STOPPING_MS: u64 = 10_000;
 
+/// What the host that decides for its region sees beside reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RegionView {
+    /// Its own requests that are under way on servers of other versions.
+    pub others_open: u32,
+    /// Hosts of its region.
+    pub hosts: u32,
+    /// Regions of which a host lives, its own included.
+    pub regions: u32,
+}
+
+impl RegionView {
+    /// Requests of the whole region that are under way on servers of other versions.
+    fn others_open(self, open: &OpenRollout, now: Moment) -> u32 {
+        let hosts = open.hosts.present(self.hosts, now);
+        self.others_open + hosts.map(|host| host.others_open).sum::<u32>()
+    }
+}
+
 /// The orders that a host knows, by service.
 #[derive(Debug, Default)]
 pub struct RolloutTable {
@@ -158,15 +178,26 @@
         running.map(|open| &open.order)
     }
 
-    /// What this host has counted since an order, for the host that decides.
+    /// What this host has counted since an order, for the host that decides; `None` while no report is due. `hosts`
+    /// report in this region.
     #[must_use]
     pub fn own_report(
-        &self,
+        &mut self,
         service: &str,
         source: u64,
         others_open: u32,
+        hosts: u32,
+        now: Moment,
     ) -> Option<RolloutReport> {
-        let open = self.orders.get(service)?;
+        let open = self.orders.get_mut(service)?;
+        let mark = ReportMark {
+            target_bad: open.own.target_bad(),
+            others_open,
+            step: open.step,
+        };
+        if !open.own_pace.take_due(source, mark, hosts, now) {
+            return None;
+        }
         Some(RolloutReport {
             source,
             service: service.to_owned(),
@@ -183,19 +214,18 @@
         &self,
         service: &str,
         source: u64,
-        others_open: u32,
+        view: RegionView,
         now: Moment,
     ) -> Option<RolloutReport> {
         let open = self.orders.get(service)?;
         let mut tally = open.hosts.tally();
         tally.add(&open.own);
-        let hosts = open.hosts.present(now);
         Some(RolloutReport {
             source,
             service: service.to_owned(),
             created: open.order.created,
             tally: tally.for_report(),
-            others_open: others_open + hosts.map(|host| host.others_open).sum::<u32>(),
+            others_open: view.others_open(open, now),
             step: open.step,
         })
     }
@@ -219,21 +249,18 @@
         (open.order.created == report.created).then_some(open)
     }
 
-    /// Decides on an order, on the host that decides for its region; `None` if nothing changes. `others_open` counts
-    /// the requests of this host on servers of other versions.
+    /// Decides on an order, on the host that decides for its region; `None` if nothing changes.
     pub fn decide(
         &mut self,
         service: &str,
-        others_open: u32,
-        region_count: usize,
+        view: RegionView,
         now: Moment,
     ) -> Option<RolloutChange> {
         let open = self.orders.get_mut(service)?;
         if open.state != RolloutState::Running {
             return None;
         }
-        let hosts_open: u32 = open.hosts.present(now).map(|host| host.others_open).sum();
-        let state = open.judge(others_open + hosts_open, region_count, now);
+        let state = open.judge(view.others_open(open, now), view.regions, now);
         let step = RolloutStep::due(now.since(open.began), open.order.over_ms);
         open.advance(step, state, now).then(|| RolloutChange {
             order: open.order.clone(),
--- a/src/rollout/tally.rs
+++ b/src/rollout/tally.rs
@@ -81,11 +81,22 @@
     /// Adds what others count.
     pub fn add(&mut self, other: &Self) {
         for (route, tally) in &other.routes {
-            let known = self.routes.entry(route.clone()).or_default();
-            known.add(tally);
+            match self.routes.get_mut(route) {
+                Some(known) => known.add(tally),
+                None => {
+                    self.routes.insert(route.clone(), *tally);
+                }
+            }
         }
     }
 
+    /// Bad answers of the new version.
+    #[must_use]
+    pub fn target_bad(&self) -> u32 {
+        let routes = self.routes.values();
+        routes.map(|tally| tally.target.bad).sum()
+    }
+
     /// Whether the new version is bad, on all routes together or on one.
     ///
     /// ```
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -1,9 +1,10 @@
 //! How traffic moves to another version, and when it is taken back: decisions of three regions under simulated time.
 
+use ledgespool::entry::hash;
 use ledgespool::rollout::message::RolloutAnswer;
 use ledgespool::rollout::order::{RolloutOrder, RolloutState, StoredRollout, VersionTag};
 use ledgespool::rollout::plan::{RolloutStep, VersionRule};
-use ledgespool::rollout::table::RolloutTable;
+use ledgespool::rollout::table::{RegionView, RolloutTable};
 use ledgespool::timer::Moment;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -46,6 +47,8 @@
     bad_from_ms: u64,
     /// Only requests of the first of four routes are.
     on_one_route: bool,
+    /// The part of answers of any version that are bad.
+    noise: f64,
 }
 
 /// What came of an order.
@@ -57,6 +60,8 @@
     /// Requests that the new version got while it may not be good.
     exposed: usize,
     requests: usize,
+    /// Reports that the host which decides for the first region got.
+    reports: usize,
 }
 
 /// A request that a server works on.
@@ -64,23 +69,29 @@
 struct OpenRequest {
     ends_ms: u64,
     region: usize,
+    host: usize,
     route: &'static str,
     is_new: bool,
     is_bad: bool,
 }
 
-/// One host that decides for each of three regions, each with a third of 600 requests a second.
+/// Three regions, each with a third of 600 requests a second. The first host of each decides for it.
 struct RolloutPlay {
     new: NewVersion,
     random: SmallRng,
-    tables: Vec<RolloutTable>,
+    /// By region, then by host.
+    tables: Vec<Vec<RolloutTable>>,
     open: Vec<OpenRequest>,
     outcome: Outcome,
 }
 
 fn play(new: NewVersion, seed: u64) -> Outcome {
+    play_with_hosts(new, 1, seed)
+}
+
+fn play_with_hosts(new: NewVersion, hosts: usize, seed: u64) -> Outcome {
     const STEP_MS: usize = 5;
-    let mut play = RolloutPlay::start(new, seed);
+    let mut play = RolloutPlay::start(new, hosts, seed);
     for now_ms in (0..OVER_MS).step_by(STEP_MS) {
         for region in 0..play.tables.len() {
             play.send(region, now_ms);
@@ -99,43 +110,53 @@
 }
 
 impl RolloutPlay {
-    fn start(new: NewVersion, seed: u64) -> Self {
+    fn start(new: NewVersion, hosts: usize, seed: u64) -> Self {
         let start_table = |_| {
             let mut table = RolloutTable::default();
             table.on_list(vec![(stored(None), 8)], 8, Moment(0));
             table
         };
+        let start_region = |_| (0..hosts).map(start_table).collect();
         Self {
             new,
             random: SmallRng::seed_from_u64(seed),
-            tables: (0..REGIONS).map(start_table).collect(),
+            tables: (0..REGIONS).map(start_region).collect(),
             open: Vec::new(),
             outcome: Outcome {
                 state: RolloutState::Running,
                 at_ms: 0,
                 exposed: 0,
                 requests: 0,
+                reports: 0,
             },
         }
     }
 
-    /// A caller of a region asks.
+    /// A caller of a region asks one of its hosts.
     fn send(&mut self, region: usize, now_ms: u64) {
         let route = ROUTES[self.random.random_range(0..ROUTES.len())];
+        let host = self.random.random_range(0..self.tables[region].len());
         let point = self.random.random();
-        let rule = self.tables[region].rule_of("desk", point, CANARY_SHARE, false, Moment(now_ms));
+        let table = &self.tables[region][host];
+        let rule = table.rule_of("desk", point, CANARY_SHARE, false, Moment(now_ms));
         let is_new = rule == VersionRule::Only(version("v2"));
         let may_be_bad = is_new
             && now_ms >= self.new.bad_from_ms
             && (!self.new.on_one_route || route == ROUTES[0]);
+        let bad_part = if may_be_bad {
+            self.new.bad_part.max(self.new.noise)
+        } else {
+            self.new.noise
+        };
         self.outcome.requests += 1;
         self.outcome.exposed += usize::from(is_new);
         self.open.push(OpenRequest {
             ends_ms: now_ms + WORK_MS,
             region,
+            host,
             route,
             is_new,
-            is_bad: may_be_bad && self.random.random_bool(self.new.bad_part),
+            is_bad: self.random.random_bool(bad_part),
         });
     }
 
@@ -152,33 +173,66 @@
                 version: version(if request.is_new { "v2" } else { "v1" }),
                 is_bad: request.is_bad,
             };
-            self.tables[request.region].on_answer("desk", &answer);
+            self.tables[request.region][request.host].on_answer("desk", &answer);
         }
     }
 
-    /// Each region decides, and tells the others what it counts and knows.
+    /// The requests of a host that are under way on the former version.
+    fn others_open(&self, region: usize, host: usize) -> u32 {
+        let own = self.open.iter();
+        let own = own.filter(|open| (open.region, open.host) == (region, host) && !open.is_new);
+        u32::try_from(own.count()).expect("a few")
+    }
+
+    /// Hosts report, each region decides, and tells its hosts and the other regions what it counts and knows.
     fn exchange(&mut self, now: Moment) {
-        let count = self.tables.len();
-        for region in 0..count {
-            let others = self.open.iter();
-            let others = others.filter(|request| request.region == region && !request.is_new);
-            let others_open = u32::try_from(others.count()).expect("a few");
-            let _change = self.tables[region].decide("desk", others_open, count, now);
-            let report = self.tables[region].region_report("desk", region as u64, others_open, now);
-            let news = self.tables[region].news(now);
-            for (other, table) in self.tables.iter_mut().enumerate() {
+        let regions = self.tables.len();
+        for region in 0..regions {
+            self.report(region, now);
+            let view = RegionView {
+                others_open: self.others_open(region, 0),
+                hosts: u32::try_from(self.tables[region].len()).expect("some hundred"),
+                regions: u32::try_from(regions).expect("a few"),
+            };
+            let decider = &mut self.tables[region][0];
+            let _change = decider.decide("desk", view, now);
+            let report = decider.region_report("desk", region as u64, view, now);
+            let news = decider.news(now);
+            for (other, tables) in self.tables.iter_mut().enumerate() {
                 if other != region {
-                    table.on_region_report(report.clone().expect("an order"), now);
+                    tables[0].on_region_report(report.clone().expect("an order"), now);
+                    tables[0].on_news(&news, now);
+                    continue;
+                }
+                for table in &mut tables[1..] {
                     table.on_news(&news, now);
                 }
             }
         }
     }
 
+    fn report(&mut self, region: usize, now: Moment) {
+        let hosts = self.tables[region].len();
+        let mut reports = Vec::new();
+        for host in 1..hosts {
+            let others_open = self.others_open(region, host);
+            let count = u32::try_from(hosts).expect("some hundred");
+            let source = hash::of_name(&format!("h-{region}-{host}"));
+            let table = &mut self.tables[region][host];
+            reports.extend(table.own_report("desk", source, others_open, count, now));
+        }
+        if region == 0 {
+            self.outcome.reports += reports.len();
+        }
+        for report in reports {
+            self.tables[region][0].on_host_report(report, now);
+        }
+    }
+
     /// What all regions hold for decided.
     fn final_state(&self, now: Moment) -> Option<RolloutState> {
         let states = self.tables.iter();
-        let mut states = states.map(|table| table.news(now).orders[0].state);
+        let mut states = states.map(|tables| tables[0].news(now).orders[0].state);
         let first = states.next().filter(|state| state.is_final())?;
         states.all(|state| state == first).then_some(first)
     }
@@ -188,6 +242,7 @@
     bad_part: 0.0,
     bad_from_ms: 0,
     on_one_route: false,
+    noise: 0.0,
 };
 
 #[test]
@@ -215,6 +270,7 @@
             bad_part,
             bad_from_ms,
             on_one_route,
+            noise: 0.0,
         };
         for seed in 0..20 {
             let outcome = play(new, seed);
@@ -232,6 +288,7 @@
         bad_part: 0.5,
         bad_from_ms: OVER_MS * 4 / 5,
         on_one_route: false,
+        noise: 0.0,
     };
     let allowed = CANARY_SHARE * (OVER_MS / 5 * REGIONS) as f64 + CANARY_SLACK;
     for seed in 0..20 {
@@ -277,7 +334,12 @@
 fn a_host_that_starts_in_the_middle_takes_over_how_far_the_traffic_has_moved() {
     let mut first = RolloutTable::default();
     first.on_list(vec![(stored(None), 8)], 8, Moment(0));
-    let _change = first.decide("desk", 0, 1, Moment(OVER_MS * 9 / 10));
+    let view = RegionView {
+        others_open: 0,
+        hosts: 1,
+        regions: 1,
+    };
+    let _change = first.decide("desk", view, Moment(OVER_MS * 9 / 10));
     let mut second = RolloutTable::default();
     second.on_news(&first.news(Moment(OVER_MS * 9 / 10)), Moment(20_000));
     let news = second.news(Moment(20_000));
@@ -301,3 +363,35 @@
     );
     assert!(rule_at(60_000).allows(version("v3")));
 }
+
+/// Each host reports to the one that decides for its region, however many they are.
+#[test]
+fn what_the_deciding_host_gets_does_not_grow_with_the_hosts_and_its_verdict_holds() {
+    // A hundred a second in turn, and one for each request that leaves the former version or fails on the new one.
+    let bound = 100 * OVER_MS / 1_000 + 300;
+    let noisy = NewVersion {
+        noise: 0.02,
+        ..GOOD
+    };
+    let bad = NewVersion {
+        bad_part: 0.3,
+        ..noisy
+    };
+    let allowed = CANARY_SHARE * (OVER_MS / 5 * REGIONS) as f64 + CANARY_SLACK;
+    for hosts in [33, 329, 658] {
+        for seed in 0..3 {
+            let outcome = play_with_hosts(noisy, hosts, seed);
+            assert_eq!(outcome.state, RolloutState::Complete, "{hosts} {seed}");
+            assert!(
+                outcome.reports as u64 <= bound,
+                "{hosts} {seed}: {outcome:?}"
+            );
+            let outcome = play_with_hosts(bad, hosts, seed);
+            assert_eq!(outcome.state, RolloutState::Reverted, "{hosts} {seed}");
+            assert!(
+                outcome.exposed as f64 <= allowed,
+                "{hosts} {seed}: {outcome:?}"
+            );
+        }
+    }
+}
