What becomes of a part of a configuration that cannot be read is decided in the library

Cause: platform/ decided that an unknown type runs once, that an unread route keeps its place, and when an unknown key is undecided; it translates and decides nothing. Found on reading the change again. Moved, not changed: the draft of a configuration takes what was read and says what becomes of the rest; platform/ tells it words and places.

--- a/src/entry/configuration.rs
+++ b/src/entry/configuration.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 
+use super::configuration_draft::RoutePlace;
 use super::customer::{CustomerRule, CustomerTable};
 use super::peer_message::{self, PeerFormatError};
 
@@ -244,11 +245,11 @@
 impl RouteRule {
     /// A route whose requests no service can take.
     #[must_use]
-    pub const fn without_service(name: String, host: String, prefix: String) -> Self {
+    pub fn without_service(place: RoutePlace) -> Self {
         Self {
-            name,
-            host,
-            prefix,
+            name: place.name,
+            host: place.host,
+            prefix: place.prefix,
             kind: RequestKind::Once,
             timeout_ms: 0,
             goal_ms: 0,
