--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -204,6 +204,7 @@
         self.listed = true;
         let servers = self.entries.values().map(|entry| &entry.server);
         self.index.rebuild(servers);
+        self.names.forget_unused();
         changes
     }
 
--- a/src/entry/shared_names.rs
+++ b/src/entry/shared_names.rs
@@ -18,4 +18,9 @@
         self.names.insert(rc::Rc::clone(&shared));
         shared
     }
+
+    /// Forgets names that no server has any more: entries may name anything.
+    pub(super) fn forget_unused(&mut self) {
+        self.names.retain(|name| rc::Rc::strong_count(name) > 1);
+    }
 }
