Metric: age of a host's view of the servers

The view is confirmed by the store's answers and by heartbeats of hosts that watch the store and know of no later change.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -209,8 +209,11 @@
     }
 
     fn on_answered(&mut self, call: &'static str, began: Moment, revision: Option<u64>) {
-        if self.kind == ObjectKind::Configuration {
-            self.host.on_configuration_confirmed(self.host.now());
+        let now = self.host.now();
+        match self.kind {
+            ObjectKind::Configuration => self.host.on_configuration_confirmed(now),
+            ObjectKind::Servers => self.host.on_servers_confirmed(now),
+            _ => {}
         }
         if self.host.watch.on_call(self.kind, false) {
             self.on_found(call, began, revision);
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -291,9 +291,8 @@
     host_gossip::request_missing_hosts(host, heartbeat, source);
     let position = heartbeat.fleet_changed.max(heartbeat.evacuation_changed);
     host.on_store_position(position, &heartbeat.host);
-    let is_same = heartbeat.configuration_version == host.configuration_version();
-    if heartbeat.watch == WatchState::Watching && is_same {
-        host.on_configuration_confirmed(now);
+    if heartbeat.watch == WatchState::Watching {
+        confirm_view(host, heartbeat, now);
     }
     let event = match change {
         PeerChange::Appeared => Some(EventCode::MemberJoined),
@@ -319,6 +318,16 @@
     catch_up::on_heartbeat(host, heartbeat);
 }
 
+/// Records which parts of this host's state a watcher's heartbeat confirms as current.
+fn confirm_view<W: WireProtocol>(host: &EntryHost<W>, heartbeat: &PeerHeartbeat, now: Moment) {
+    if heartbeat.configuration_version == host.configuration_version() {
+        host.on_configuration_confirmed(now);
+    }
+    if heartbeat.fleet_changed <= host.fleet.borrow().revision() {
+        host.on_servers_confirmed(now);
+    }
+}
+
 /// Relays a fleet update to the other hosts of this hall if a watcher of another hall requests it.
 fn relay_fleet_update<W: WireProtocol>(
     host: &EntryHost<W>,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -84,6 +84,8 @@
     /// When this host last knew that the store, or a host that watches it, has the same
     /// configuration.
     configuration_confirmed: cell::Cell<Option<Moment>>,
+    /// When this host last knew that the store, or a host that watches it, has the same servers.
+    servers_confirmed: cell::Cell<Option<Moment>>,
     pub(super) evacuations: cell::RefCell<EvacuationList>,
     pub(super) retry_windows: cell::RefCell<collections::HashMap<String, RetryWindow>>,
     pub(super) route_times: cell::RefCell<RouteTimeTable>,
@@ -131,6 +133,7 @@
             run,
             routes: cell::RefCell::default(),
             configuration_confirmed: cell::Cell::default(),
+            servers_confirmed: cell::Cell::default(),
             evacuations: cell::RefCell::default(),
             retry_windows: cell::RefCell::default(),
             route_times: cell::RefCell::default(),
@@ -186,6 +189,20 @@
         confirmed.map(|confirmed| self.now().since(confirmed))
     }
 
+    /// Records that the store, or a host that watches it, had the same servers as this host at
+    /// `at`.
+    pub(super) fn on_servers_confirmed(&self, at: Moment) {
+        self.servers_confirmed.set(Some(at));
+    }
+
+    /// Age of this host's view of the servers, in milliseconds. A server may have begun to leave
+    /// within that time. `None` before the first confirmation.
+    #[must_use]
+    pub fn servers_age_ms(&self) -> Option<u64> {
+        let confirmed = self.servers_confirmed.get();
+        confirmed.map(|confirmed| self.now().since(confirmed))
+    }
+
     /// Activates a configuration unless the active one is at least as new.
     pub fn install_configuration(&self, configuration: &ServiceConfiguration, source: &str) {
         if configuration.version <= self.configuration_version() {
@@ -252,6 +269,7 @@
         let current = CurrentFigures {
             configuration_version: self.configuration_version(),
             configuration_age_ms: self.configuration_age_ms(),
+            servers_age_ms: self.servers_age_ms(),
             servers: self.fleet.borrow().servers().count(),
             servers_indexed: self.fleet.borrow().servers_indexed(),
             peers: self.peers.borrow().records().count(),
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -128,6 +128,9 @@
     /// Age of the view of the configuration, in milliseconds; `None` before there is any, and the
     /// metric is then omitted.
     pub configuration_age_ms: Option<u64>,
+    /// Age of the view of the servers, in milliseconds; `None` before there is any, and the metric
+    /// is then omitted.
+    pub servers_age_ms: Option<u64>,
     /// Known backend servers.
     pub servers: usize,
     /// How often a server was inserted into the indexes.
@@ -244,6 +247,9 @@
                 age_ms,
             );
         }
+        if let Some(age_ms) = current.servers_age_ms {
+            line(&mut page, "ledgespool_servers_age_milliseconds", age_ms);
+        }
         for (name, value) in self.unlabelled(current) {
             line(&mut page, name, value);
         }
