Review retained servers with hosts that did not lose the store

Cause: a host whose calls to the store fail takes that for an outage of the store, also if the store refused only this host. The entry of a server that left meanwhile then counts as expired: the server is retained for 2.2 s, and the hosts that rely on this one are told so. They know the same store revision as the hosts that removed the server at once, so they never ask again.

Change: a host that retains servers after its return asks up to eight watchers for the changes of the gap. One whose watch of the servers was not interrupted shows that the store was there; its removals are applied and forwarded to the region. If nobody answers so, the store was away, and all is as before. A host with an uninterrupted watch that is told of a retention no longer takes that for an outage either: its own read of the removal ends it.

Left: if all watchers lose the store at once, or none may be reached, nobody can tell, and retention stays as it was.

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -255,7 +255,7 @@
     FetchOutcome::of(fetched.as_ref())
 }
 
-async fn fetch<W: WireProtocol, T: serde::de::DeserializeOwned>(
+pub(super) async fn fetch<W: WireProtocol, T: serde::de::DeserializeOwned>(
     host: &EntryHost<W>,
     source: net::SocketAddr,
     path: &str,
--- a/src/entry/expiry_retention.rs
+++ b/src/entry/expiry_retention.rs
@@ -164,6 +164,8 @@
 #[derive(Debug, Default)]
 pub struct ReportedRetentions {
     retentions: collections::HashMap<String, Moment>,
+    /// Until when the recipient retains servers that it finds missing itself.
+    outage_end: Option<Moment>,
 }
 
 impl ReportedRetentions {
@@ -182,11 +184,22 @@
     pub fn from_gone(gone: &[GoneServer], now: Moment) -> Self {
         let retained = gone.iter().filter(|server| server.hold_ms > 0);
         let retentions = retained.map(|server| (server.id.clone(), now.plus(server.hold_ms)));
+        let retentions: collections::HashMap<_, _> = retentions.collect();
+        let outage_end = retentions.values().max().copied();
         Self {
-            retentions: retentions.collect(),
+            retentions,
+            outage_end,
         }
     }
 
+    /// Drops the report that the store was away, for a recipient that reads it without
+    /// interruption.
+    #[must_use]
+    pub fn without_outage(self) -> Self {
+        let outage_end = None;
+        Self { outage_end, ..self }
+    }
+
     /// The retention of a server; `None` when it is removed.
     #[must_use]
     pub fn server_retention(&self, id: &str) -> Option<ServerRetention> {
@@ -195,9 +208,10 @@
         Some(ServerRetention { until, reason })
     }
 
-    /// The latest end of all retentions.
-    pub(super) fn latest_end(&self) -> Option<Moment> {
-        self.retentions.values().max().copied()
+    /// Until when the recipient retains servers that it finds missing itself; `None` if the store
+    /// was not away.
+    pub(super) const fn outage_end(&self) -> Option<Moment> {
+        self.outage_end
     }
 }
 
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -219,7 +219,7 @@
         match source {
             MissingSource::Store => self.retain_if_many(vanished, now),
             MissingSource::Peer(retentions) => {
-                if let Some(until) = retentions.latest_end() {
+                if let Some(until) = retentions.outage_end() {
                     self.retention.on_reported(until);
                 }
             }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -14,6 +14,7 @@
 
 use super::expiry_retention::ReturnObservation;
 use super::host::EntryHost;
+use super::retention_review::{self, WatchGap};
 use super::store::{ObjectKind, ObjectStore, StoreFault, StoreResult};
 use super::store_updates;
 use super::wire::WireProtocol;
@@ -60,6 +61,7 @@
             kind,
             failures: 0,
             last_failed: None,
+            unread_since: None,
         };
         tokio::task::spawn_local(follower.run());
     }
@@ -73,6 +75,9 @@
     failures: u32,
     /// When the last unanswered call began: the store was away at or after that moment.
     last_failed: Option<Moment>,
+    /// The store revision after which changes of servers were not read in time, while the answer
+    /// that has them is being applied.
+    unread_since: Option<u64>,
 }
 
 impl<W: WireProtocol, S: ObjectStore> KindFollower<W, S> {
@@ -142,6 +147,7 @@
         }
         let revision = revision.unwrap_or(0);
         store_updates::on_list(&self.host, self.kind, &objects, revision);
+        self.review_retention(revision);
         Ok(revision)
     }
 
@@ -157,9 +163,11 @@
         let batch = batch?;
         if !batch.changes.is_empty() {
             store_updates::on_changes(&self.host, self.kind, &batch);
+            self.review_retention(batch.revision);
             // Changes come in groups; receiving a group at once saves calls.
             tokio::time::sleep(BATCH_PAUSE).await;
         } else if self.kind == ObjectKind::Servers {
+            self.unread_since = None;
             self.host.fleet.borrow_mut().on_unchanged(batch.revision);
         }
         Ok(batch.revision.max(revision))
@@ -188,12 +196,19 @@
             .on_store_call(self.kind, call, label);
         match result {
             Ok(revision) => {
+                if self.kind == ObjectKind::Servers {
+                    self.host.watch.on_servers_read(revision);
+                }
                 self.on_answered(call, began, Some(revision));
                 self.host.on_store_position(revision, "store");
             }
             Err(StoreFault::Conflict | StoreFault::Absent) => self.on_answered(call, began, None),
             // The following list shows whether the store is there.
-            Err(StoreFault::HistoryGone | StoreFault::FormerEpoch) => {}
+            Err(StoreFault::HistoryGone | StoreFault::FormerEpoch) => {
+                if self.kind == ObjectKind::Servers {
+                    self.host.watch.on_servers_interrupted();
+                }
+            }
             Err(StoreFault::Unreachable | StoreFault::Refused(_) | StoreFault::Malformed(_)) => {
                 if self.host.watch.on_call(self.kind, true) {
                     self.on_lost(call, label);
@@ -234,10 +249,19 @@
             let now = self.host.now();
             let observation = self.return_observation(now);
             let mut fleet = self.host.fleet.borrow_mut();
+            self.unread_since = Some(fleet.revision());
             fleet.on_store_return(observation, revision, now);
         }
     }
 
+    /// Checks servers that are retained because of the store's return, once the first answer, which
+    /// is current up to the store revision `until`, was applied.
+    fn review_retention(&mut self, until: u64) {
+        if let Some(since) = self.unread_since.take() {
+            retention_review::spawn(&self.host, WatchGap { since, until });
+        }
+    }
+
     fn return_observation(&self, now: Moment) -> ReturnObservation {
         match self.last_failed {
             Some(failed) if now.since(failed) <= RETURN_OBSERVED_MS => ReturnObservation::InTime,
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -134,6 +134,28 @@
     }
 }
 
+/// Tells all hosts of this region that servers are gone which they may retain. The servers were
+/// removed up to the store revision `until`.
+pub(super) fn send_removals<W: WireProtocol>(host: &EntryHost<W>, ids: &[String], until: u64) {
+    let removals: Vec<ObjectChange> = ids.iter().map(|id| removal_of(id, until)).collect();
+    let targets = host.peers.borrow().region_targets(&host.settings().region);
+    let now = host.now();
+    for fragment in update_fragment::split_changes(&removals) {
+        let update = FleetUpdate {
+            host: host.settings().name.clone(),
+            // It does not have all changes between two revisions, so it spans none.
+            since: until,
+            until,
+            part: 0,
+            parts: 1,
+            changed: Vec::new(),
+            gone: gone_servers(host, fragment.gone, now),
+            relay: false,
+        };
+        send(host, &PeerMessage::Fleet(update), &targets);
+    }
+}
+
 /// Converts IDs of gone servers to messages with the rest of each server's retention.
 fn gone_servers<W: WireProtocol>(
     host: &EntryHost<W>,
@@ -347,7 +369,11 @@
 }
 
 pub(super) fn on_fleet_update<W: WireProtocol>(host: &EntryHost<W>, update: &FleetUpdate) {
-    let holds = ReportedRetentions::from_gone(&update.gone, host.now());
+    let reported = ReportedRetentions::from_gone(&update.gone, host.now());
+    let reported = match host.watch.servers_followed() {
+        Some(_) => reported.without_outage(),
+        None => reported,
+    };
     let is_complete = host.socket.partial_updates.borrow_mut().on_fragment(update);
     let fleet = host.fleet.borrow();
     let contiguous = is_complete && fleet.is_listed() && update.since <= fleet.revision();
@@ -356,7 +382,7 @@
         until: update.until,
         contiguous,
     };
-    let missing = MissingSource::Peer(&holds);
+    let missing = MissingSource::Peer(&reported);
     host.on_server_changes(&changes_of(update), span, missing, &update.host);
 }
 
@@ -365,15 +391,20 @@
         object: StoredObject::from(object.clone()),
         deleted: false,
     });
-    let gone = update.gone.iter().map(|server| ObjectChange {
+    let gone = update.gone.iter();
+    let gone = gone.map(|server| removal_of(&server.id, update.until));
+    changed.chain(gone).collect()
+}
+
+/// The removal of a server that happened at the store revision `until` or before; an observation at
+/// a later revision takes precedence.
+fn removal_of(id: &str, until: u64) -> ObjectChange {
+    ObjectChange {
         object: StoredObject {
-            name: server.id.clone(),
-            // The server ended at this revision or before; an observation at a later revision takes
-            // precedence.
-            revision: update.until,
+            name: id.to_owned(),
+            revision: until,
             content: ObjectContent::Unreadable(String::new()),
         },
         deleted: true,
-    });
-    changed.chain(gone).collect()
+    }
 }
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -18,7 +18,7 @@
 use super::peer_message::PeerFormatError;
 use super::settings::EntrySettings;
 use super::wire::{HostCall, LookupRequest, WireProtocol};
-use super::{catch_up, join, peer_message, request};
+use super::{catch_up, join, peer_message, request, retention_review};
 use crate::error::{self, Error};
 use crate::listener;
 use crate::result_code::ResultCode;
@@ -223,6 +223,12 @@
             Err(_invalid_number) => empty_response(http::StatusCode::BAD_REQUEST),
         };
     }
+    if let Some(since) = path.strip_prefix(retention_review::FOLLOWED_CHANGES_PATH) {
+        return match since.parse() {
+            Ok(since) => peer_response(host, encode(&host.followed_changes_since(since))),
+            Err(_invalid_number) => empty_response(http::StatusCode::BAD_REQUEST),
+        };
+    }
     match path {
         join::JOIN_PATH => match join::answer(host, request.into_body()).await {
             Some(written) => peer_response(host, written),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -72,6 +72,7 @@
 mod removed_servers;
 pub mod request;
 mod request_failure;
+mod retention_review;
 pub mod rollout_role;
 pub mod route_times;
 pub mod self_report;
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -212,6 +212,22 @@
         other.map(|peer| peer.record.peer_address)
     }
 
+    /// Up to `count` random hosts of any region that currently watch the store.
+    #[must_use]
+    pub fn sample_watchers(
+        &self,
+        count: usize,
+        now: Moment,
+        random: &mut SmallRng,
+    ) -> Vec<net::SocketAddr> {
+        let watchers = self.peers.values().filter(|peer| {
+            let timeout_ms = self.timeout_ms(&peer.record.region);
+            peer.watch == WatchState::Watching && peer.is_active(now, timeout_ms)
+        });
+        let addresses = watchers.map(|peer| peer.record.peer_address);
+        addresses.choose_multiple(random, count)
+    }
+
     /// Name hashes of the other hosts of `region` that currently watch the store.
     fn watcher_hashes(&self, region: &str, now: Moment) -> Vec<u64> {
         let timeout_ms = self.timeout_ms(region);
--- a/src/entry/self_report.rs
+++ b/src/entry/self_report.rs
@@ -78,6 +78,20 @@
         })
     }
 
+    /// The server changes that this host has read from the store itself; `None` if its watch was
+    /// interrupted after the store revision `since`.
+    #[must_use]
+    pub fn followed_changes_since(&self, since: u64) -> Option<FleetUpdate> {
+        let followed = self.watch.servers_followed()?;
+        if followed.since > since {
+            return None;
+        }
+        let update = self.fleet_news_since(since)?;
+        // Other hosts may have reported later changes.
+        let until = followed.until.min(update.until);
+        Some(FleetUpdate { until, ..update })
+    }
+
     fn region_sizes(&self) -> Vec<RegionSize> {
         let sizes = self.hosts_by_region().into_iter();
         sizes
--- a/src/entry/watch_role.rs
+++ b/src/entry/watch_role.rs
@@ -34,6 +34,15 @@
 /// everything itself.
 const SEEDS_ONLY_MS: u64 = 1_500;
 
+/// A span of the store's history that a host has read without interruption.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowedSpan {
+    /// The store revision of the first answer.
+    pub since: u64,
+    /// The store revision of the last answer.
+    pub until: u64,
+}
+
 /// Whether a host watches the store, and the kinds that it cannot read now.
 #[derive(Debug, Default)]
 pub struct WatchRole {
@@ -41,6 +50,8 @@
     /// Wakes the tasks that follow a kind; they wait while this host leaves the store to others.
     began: Notify,
     lost: cell::RefCell<collections::HashSet<ObjectKind>>,
+    /// What this host has read of the servers' history since the last failed call.
+    servers_followed: cell::Cell<Option<FollowedSpan>>,
     /// The position of this host in the random order in which hosts list the store, from 0 to 1.
     jitter: cell::OnceCell<f64>,
 }
@@ -52,6 +63,9 @@
             self.lost.borrow_mut().clear();
         }
         let is_change = self.is_watching.replace(is_watching) != is_watching;
+        if is_change {
+            self.servers_followed.set(None);
+        }
         if is_change && is_watching {
             self.began.notify_waiters();
         }
@@ -86,6 +100,9 @@
     /// assert_eq!(role.state(), WatchState::Blind, "one kind is still lost");
     /// ```
     pub fn on_call(&self, kind: ObjectKind, lost: bool) -> bool {
+        if lost && kind == ObjectKind::Servers {
+            self.on_servers_interrupted();
+        }
         let mut kinds = self.lost.borrow_mut();
         if lost {
             kinds.insert(kind)
@@ -100,6 +117,40 @@
         self.lost.borrow().contains(&kind)
     }
 
+    /// A call about servers was answered, current up to the store revision `revision`.
+    pub fn on_servers_read(&self, revision: u64) {
+        let followed = self.servers_followed.get();
+        let since = followed.map_or(revision, |followed| followed.since);
+        let until = revision;
+        self.servers_followed
+            .set(Some(FollowedSpan { since, until }));
+    }
+
+    /// Changes of servers may have been missed.
+    pub fn on_servers_interrupted(&self) {
+        self.servers_followed.set(None);
+    }
+
+    /// What this host has read of the servers' history without interruption; `None` if it does not
+    /// watch the servers now.
+    ///
+    /// ```
+    /// use ledgespool::entry::store::ObjectKind;
+    /// use ledgespool::entry::watch_role::{FollowedSpan, WatchRole};
+    /// let role = WatchRole::default();
+    /// role.set_watching(true);
+    /// role.on_servers_read(5);
+    /// role.on_servers_read(8);
+    /// assert_eq!(role.servers_followed(), Some(FollowedSpan { since: 5, until: 8 }));
+    /// role.on_call(ObjectKind::Servers, true);
+    /// assert_eq!(role.servers_followed(), None);
+    /// ```
+    #[must_use]
+    pub fn servers_followed(&self) -> Option<FollowedSpan> {
+        let followed = self.servers_followed.get();
+        followed.filter(|_| self.is_watching.get())
+    }
+
     /// The state that is sent to other hosts.
     #[must_use]
     pub fn state(&self) -> WatchState {
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -601,3 +601,21 @@
     assert!(fleet.changes_since(120, Moment(10_000)).is_none());
     assert!(fleet.changes_since(2_300, Moment(10_000)).is_some());
 }
+
+/// A host that reads the store without interruption is told by one whose calls failed that a server
+/// may have expired. Its own view of the removal must hold, also for the hosts that ask it.
+#[test]
+fn a_removal_that_a_host_reads_itself_ends_a_reported_retention() {
+    let (mut fleet, servers) = twelve_servers();
+    let changes = removals(&servers[..1]);
+    let reported = [gone("s-00", EXPIRY_GRACE_MS)];
+    let reported = ReportedRetentions::from_gone(&reported, Moment(100)).without_outage();
+    let source = MissingSource::Peer(&reported);
+    fleet.on_changes(&changes, span(11), source, &halls(), Moment(100));
+    assert_eq!(ids(&fleet).len(), 12, "it is retained as reported");
+    let applied = apply_changes(&mut fleet, &changes, span(11), 300);
+    assert_eq!(applied, [FleetChange::Removed("s-00".to_owned())]);
+    let second = removals(&servers[1..2]);
+    let applied = apply_changes(&mut fleet, &second, span(12), 400);
+    assert_eq!(applied, [FleetChange::Removed("s-01".to_owned())]);
+}
