Retain servers for less than the leave time if only a new epoch shows the store's return

A store that is restored without breaking a connection is noticed with the next answer, up to 5 s later.

Change: a return that only the new epoch shows does not date what is missing, so that is retained like any later removal, for less than the leave time. A restore that hosts notice by failed calls is as before.

Test: a_server_that_is_removed_after_an_unnoticed_restore_is_retained_for_less_than_the_leave_time; before the change "hold_ms":2200.

--- a/src/entry/expiry_retention.rs
+++ b/src/entry/expiry_retention.rs
@@ -69,6 +69,9 @@
     InTime,
     /// The failed call had hung for long: entries may have gone missing at any time since it began.
     Late,
+    /// Only the store's new epoch shows the return: entries may be lost, and may have gone missing
+    /// at any time.
+    Undated,
 }
 
 /// Decides whether a server is retained whose entry is missing from the store.
@@ -107,6 +110,8 @@
         match observation {
             ReturnObservation::InTime => self.expired_by = revision,
             ReturnObservation::Late => self.uncertain_by = revision,
+            // Like later removals, retained for less than the leave time.
+            ReturnObservation::Undated => {}
         }
     }
 
--- a/src/entry/store_epoch.rs
+++ b/src/entry/store_epoch.rs
@@ -37,7 +37,7 @@
         self.log_event(EventCode::StoreEraBegan, fields);
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
-        fleet.on_store_return(ReturnObservation::InTime, position, now);
+        fleet.on_store_return(ReturnObservation::Undated, position, now);
         drop(fleet);
         self.rewrite_blocked_requests();
     }
