--- a/src/entry/retention_review.rs
+++ b/src/entry/retention_review.rs
@@ -65,8 +65,8 @@
     }
 }
 
-/// Applies the changes as the watcher read them, and forwards retentions that they end or shorten
-/// to the hosts that were told of longer ones.
+/// Applies the changes as the watcher read them, and sends retentions that they end or shorten to
+/// the hosts of this region, which may have received longer ones.
 fn apply<W: WireProtocol>(host: &EntryHost<W>, update: &FleetUpdate) {
     let now = host.now();
     let before: Vec<GoneServer> = host.fleet.borrow().retained(now).collect();
