Metric: time since any server was reached; cause of an ejection in its event

It now says whether no connection came up or answers were lost, and how long ago the host reached any server; the same age is the metric ledgespool_servers_reached_age_milliseconds. No logic changes.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -187,6 +187,7 @@
         });
     };
     let took = time::Duration::from_millis(host.now().since(began));
+    host.on_server_reached();
     let mut latencies = host.latencies.borrow_mut();
     latencies.on_connected(&server.region, took);
     Ok(sender)
@@ -224,7 +225,10 @@
         .table()
         .period_of(server.incarnation_hash);
     let (head, body) = match permit.write(&mut sender, message).await {
-        Ok(answer) => answer.into_parts(),
+        Ok(answer) => {
+            host.on_server_reached();
+            answer.into_parts()
+        }
         Err(mut fault) => {
             return if fault.take_message().is_some() {
                 AttemptOutcome::NotSent
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -29,6 +29,7 @@
 use super::peers::PeerTable;
 use super::pool::ServerPool;
 use super::quarantine_role::QuarantineRole;
+use super::reachability_role::ReachabilityRole;
 use super::region_latency::RegionLatencies;
 use super::region_weights::WeightCache;
 use super::rollout_role::RolloutRole;
@@ -96,6 +97,7 @@
     pub(super) server_limits: ServerLimitRole,
     pub(super) leaving_updates: LeavingUpdates,
     pub(super) rollouts: RolloutRole,
+    pub(super) reachability: ReachabilityRole,
     /// The store's epoch, as observed by this host or reported by another.
     pub(super) store_epoch: cell::Cell<u64>,
 }
@@ -144,6 +146,7 @@
             server_limits: ServerLimitRole::default(),
             leaving_updates: LeavingUpdates::default(),
             rollouts: RolloutRole::default(),
+            reachability: ReachabilityRole::default(),
             store_epoch: cell::Cell::new(0),
         }
     }
@@ -270,6 +273,7 @@
             configuration_version: self.configuration_version(),
             configuration_age_ms: self.configuration_age_ms(),
             servers_age_ms: self.servers_age_ms(),
+            servers_reached_age_ms: self.servers_reached_age_ms(),
             servers: self.fleet.borrow().servers().count(),
             servers_indexed: self.fleet.borrow().servers_indexed(),
             peers: self.peers.borrow().records().count(),
--- a/src/entry/host_fleet.rs
+++ b/src/entry/host_fleet.rs
@@ -112,18 +112,23 @@
     /// Records that an answer of a server was lost or late.
     pub fn on_server_failure(&self, server: &FleetServer) {
         if server.on_failure(self.now()) {
-            self.log_ejection(server);
+            self.log_ejection(server, "lost or late answers");
         }
     }
 
     /// Records that no connection to a server could be established.
     pub fn on_server_unreachable(&self, server: &FleetServer) {
         if server.on_unreachable(self.now()) {
-            self.log_ejection(server);
+            self.log_ejection(server, "no connection");
         }
     }
 
-    fn log_ejection(&self, server: &FleetServer) {
-        self.log_event(EventCode::ServerEjected, json!({ "server": server.id }));
+    fn log_ejection(&self, server: &FleetServer, cause: &str) {
+        let fields = json!({
+            "server": server.id,
+            "cause": cause,
+            "servers_reached_age_ms": self.servers_reached_age_ms(),
+        });
+        self.log_event(EventCode::ServerEjected, fields);
     }
 }
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -131,6 +131,9 @@
     /// Age of the view of the servers, in milliseconds; `None` before there is any, and the metric
     /// is then omitted.
     pub servers_age_ms: Option<u64>,
+    /// Time since any server was reached, in milliseconds; `None` before the first, and the metric
+    /// is then omitted.
+    pub servers_reached_age_ms: Option<u64>,
     /// Known backend servers.
     pub servers: usize,
     /// How often a server was inserted into the indexes.
@@ -250,6 +253,13 @@
         if let Some(age_ms) = current.servers_age_ms {
             line(&mut page, "ledgespool_servers_age_milliseconds", age_ms);
         }
+        if let Some(age_ms) = current.servers_reached_age_ms {
+            line(
+                &mut page,
+                "ledgespool_servers_reached_age_milliseconds",
+                age_ms,
+            );
+        }
         for (name, value) in self.unlabelled(current) {
             line(&mut page, name, value);
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -67,6 +67,7 @@
 pub mod pool;
 pub mod quarantine;
 mod quarantine_role;
+pub mod reachability_role;
 pub mod region_latency;
 pub mod region_weights;
 mod removed_servers;
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -149,6 +149,7 @@
     let requests = host.quarantine.take_broken(&server.id);
     match connected {
         Ok(sender) if server.takes_work() => {
+            host.on_server_reached();
             let mut pool = host.pool.borrow_mut();
             pool.put(&server.id, sender, None, host.now());
         }
