Setting: local address of connections to servers

server_source_address is optional and names the address from which a host with several addresses connects to backend servers. Tests use it to partition single hosts from the stand-in servers: on loopback all connections otherwise come from 127.0.0.1. Unset, nothing changes.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -178,7 +178,8 @@
     let left = time::Duration::from_millis(deadline.since(began));
     let limit = host.latencies.borrow().connect_timeout(&server.region);
     host.metrics.borrow_mut().connections += 1;
-    let Ok(sender) = pool::connect(server, limit.min(left)).await else {
+    let source = host.settings().server_source_address;
+    let Ok(sender) = pool::connect(server, source, limit.min(left)).await else {
         host.metrics.borrow_mut().connect_failures += 1;
         return Err(if left < limit {
             AttemptOutcome::OutOfTime
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -118,15 +118,18 @@
     Unreachable,
 }
 
-/// Opens a connection and spawns the task that drives it until it closes.
+/// Opens a connection from the local address `source` and spawns the task that drives it until it
+/// closes.
 ///
 /// # Errors
 /// `Refused`, or `Unreachable` when no connection is established within `timeout`.
 pub async fn connect(
     server: &FleetServer,
+    source: Option<net::IpAddr>,
     timeout: time::Duration,
 ) -> Result<ServerSender, ConnectFault> {
-    let stream = match tokio::time::timeout(timeout, open_stream(server.address)).await {
+    let opening = open_stream(server.address, source);
+    let stream = match tokio::time::timeout(timeout, opening).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(fault)) if fault.kind() == std::io::ErrorKind::ConnectionRefused => {
             return Err(ConnectFault::Refused);
@@ -146,8 +149,19 @@
     Ok(sender)
 }
 
-async fn open_stream(address: net::SocketAddr) -> std::io::Result<tokio::net::TcpStream> {
-    let stream = tokio::net::TcpStream::connect(address).await?;
+async fn open_stream(
+    address: net::SocketAddr,
+    source: Option<net::IpAddr>,
+) -> std::io::Result<tokio::net::TcpStream> {
+    let socket = if address.is_ipv4() {
+        tokio::net::TcpSocket::new_v4()?
+    } else {
+        tokio::net::TcpSocket::new_v6()?
+    };
+    if let Some(source) = source {
+        socket.bind((source, 0).into())?;
+    }
+    let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
     tcp_keepalive::enable(&stream)?;
     Ok(stream)
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -145,7 +145,8 @@
 
 async fn check_server<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, server: rc::Rc<FleetServer>) {
     let limit = host.latencies.borrow().connect_timeout(&server.region);
-    let connected = pool::connect(&server, limit).await;
+    let source = host.settings().server_source_address;
+    let connected = pool::connect(&server, source, limit).await;
     let requests = host.quarantine.take_broken(&server.id);
     match connected {
         Ok(sender) if server.takes_work() => {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -37,6 +37,9 @@
     pub first_start: bool,
     /// The platform's object store.
     pub store_address: net::SocketAddr,
+    /// The local address from which connections to servers are opened; `None` leaves the choice to
+    /// the system. For hosts with several addresses.
+    pub server_source_address: Option<net::IpAddr>,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
     /// File descriptors that the process may use.
@@ -174,6 +177,7 @@
         seeds: reader.parsed_list("seeds", "IP:PORT"),
         first_start: reader.boolean("first_start"),
         store_address: reader.address("store_address"),
+        server_source_address: reader.optional_parsed("server_source_address", "an IP address"),
         memory_bytes: u64::from(reader.integer("memory_mb", 1..=u32::MAX)) << 20,
         descriptors: reader.integer("descriptors", 1..=u32::MAX),
         processor_share: reader
