A host knows when it reaches no server of a service, and when it does again

What callers saw: while no host reached a server, a quarter of the callers (51 of 222) still failed a second after the end, and requests were held for up to four connection timeouts before.

Cause: each server is judged by itself. All that fail are ejected for 1 to 8 s each, so the end of a partition is noticed when those times are over, and until then each request tries four servers again.

Change: a failed or broken connection, or 0.7 s without any answer while requests wait, starts a check of the service (`reachability` decides, `reachability_role` connects): up to four servers that answered last, in different halls. If none accepts and keeps a connection, the service is unreachable: requests are refused at once, what was concluded about its servers since the last good connection is forgotten, and two servers are tried every 0.2 to 0.4 s. The first connection that stays open ends it. Open connections that still bring answers are used meanwhile. EV5027, EV5028 and ledgespool_servers_unreachable say so.

Callers of hosts that are partitioned alone are still refused.

--- a/src/entry/attempts/mod.rs
+++ b/src/entry/attempts/mod.rs
@@ -69,6 +69,9 @@
         last: None,
     };
     for _ in 0..MAX_ATTEMPTS {
+        if !host.may_send(&open.service) {
+            return Err(attempts.last.unwrap_or_else(|| host.unreachable_failure()));
+        }
         let Some((chosen, token)) = attempts.next_server().await? else {
             break;
         };
@@ -255,6 +258,7 @@
             }
             AttemptOutcome::TimedOut => return Err(self.on_timeout(&server, began, object_cached)),
             AttemptOutcome::NotSent => self.on_not_sent(&server),
+            AttemptOutcome::NoOpenConnection => self.log_failed(&server, "no open connection"),
             AttemptOutcome::Withheld(cause) => self.log_failed(&server, cause.as_str()),
             AttemptOutcome::OutOfTime => self.log_failed(&server, "out of time before it was sent"),
             AttemptOutcome::NotRun {
--- a/src/entry/attempts/outcome.rs
+++ b/src/entry/attempts/outcome.rs
@@ -45,6 +45,7 @@
             AttemptOutcome::Answered(answer) => answer.head.status.is_server_error() || is_slow,
             AttemptOutcome::TimedOut | AttemptOutcome::Lost(_) => true,
             AttemptOutcome::NotSent
+            | AttemptOutcome::NoOpenConnection
             | AttemptOutcome::Withheld(_)
             | AttemptOutcome::OutOfTime
             | AttemptOutcome::NotRun { .. }
@@ -127,6 +128,7 @@
         self.log_failed(server, cause.as_str());
         self.host.on_server_failure(server);
         if cause.has_broken() {
+            self.host.on_connection_failed(server);
             quarantine_role::on_broken(self.host, server, self.open.fingerprint());
         }
         let failure = RequestFailure::lost(cause.as_str());
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -54,6 +54,9 @@
     Answered(Box<ServerAnswer>),
     /// The server could not be reached; the request has not run.
     NotSent,
+    /// No connection to the server was open, and its service accepts none. The request has not run,
+    /// and the server is not considered at fault.
+    NoOpenConnection,
     /// The request was not written because the server must not get it any more.
     Withheld(WithheldCause),
     /// No connection came up, and less time was left than the connection timeout. The request has
@@ -156,14 +159,24 @@
         .borrow_mut()
         .take(&server.id, must_be_fresh, host.now());
     if let Some(sender) = idle {
-        match send_in_time(host, server, sender, request, options).await {
+        let connection = ServerConnection {
+            sender,
+            is_new: false,
+        };
+        match send_in_time(host, server, connection, request, options).await {
             // The server closed the idle connection; nothing was written.
             AttemptOutcome::NotSent => {}
             outcome => return outcome,
         }
     }
     match connect(host, server, options.deadline).await {
-        Ok(sender) => send_in_time(host, server, sender, request, options).await,
+        Ok(sender) => {
+            let connection = ServerConnection {
+                sender,
+                is_new: true,
+            };
+            send_in_time(host, server, connection, request, options).await
+        }
         Err(outcome) => outcome,
     }
 }
@@ -174,6 +187,9 @@
     server: &FleetServer,
     deadline: Moment,
 ) -> Result<ServerSender, AttemptOutcome> {
+    if host.is_unreachable(&server.service) {
+        return Err(AttemptOutcome::NoOpenConnection);
+    }
     let began = host.now();
     let left = time::Duration::from_millis(deadline.since(began));
     let limit = host.latencies.borrow().connect_timeout(&server.region);
@@ -181,28 +197,35 @@
     let source = host.settings().server_source_address;
     let Ok(sender) = pool::connect(server, source, limit.min(left)).await else {
         host.metrics.borrow_mut().connect_failures += 1;
-        return Err(if left < limit {
-            AttemptOutcome::OutOfTime
-        } else {
-            AttemptOutcome::NotSent
-        });
+        if left < limit {
+            return Err(AttemptOutcome::OutOfTime);
+        }
+        host.on_connection_failed(server);
+        return Err(AttemptOutcome::NotSent);
     };
     let took = time::Duration::from_millis(host.now().since(began));
-    host.on_server_reached();
     let mut latencies = host.latencies.borrow_mut();
     latencies.on_connected(&server.region, took);
     Ok(sender)
 }
 
+/// A connection that a request is sent over.
+#[derive(Debug)]
+struct ServerConnection {
+    sender: ServerSender,
+    /// Whether it was opened for this request.
+    is_new: bool,
+}
+
 async fn send_in_time<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    sender: ServerSender,
+    connection: ServerConnection,
     request: &ForwardRequest,
     options: AttemptOptions,
 ) -> AttemptOutcome {
     let left = time::Duration::from_millis(options.deadline.since(host.now()));
-    let sending = send(host, server, sender, request, options);
+    let sending = send(host, server, connection, request, options);
     let outcome = tokio::time::timeout(left, sending).await;
     outcome.unwrap_or(AttemptOutcome::TimedOut)
 }
@@ -210,10 +233,11 @@
 async fn send<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    mut sender: ServerSender,
+    connection: ServerConnection,
     request: &ForwardRequest,
     options: AttemptOptions,
 ) -> AttemptOutcome {
+    let ServerConnection { mut sender, is_new } = connection;
     let id = request.id.as_deref();
     let permit = match SendPermit::obtain(host, server, options.right, id) {
         Ok(permit) => permit,
@@ -225,9 +249,13 @@
         .server_limits
         .table()
         .period_of(server.incarnation_hash);
+    let wait = host.begin_wait(server);
     let (head, body) = match permit.write(&mut sender, message).await {
         Ok(answer) => {
-            host.on_server_reached();
+            wait.on_answered(host.now());
+            if is_new {
+                host.on_server_connected(server);
+            }
             answer.into_parts()
         }
         Err(mut fault) => {
--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -226,6 +226,7 @@
         let mut view = self.view.borrow_mut();
         let view = view.observed_mut();
         view.notice.on_served(now);
+        view.last_success = Some(now);
         view.failures = 0;
         view.ejections = 0;
         view.ejected_until = None;
@@ -260,12 +261,40 @@
             return false;
         }
         let doublings = view.ejections.min(MAX_EJECT_DOUBLINGS);
+        view.ejected_at = now;
         view.ejected_until = Some(now.plus(BASE_EJECT_MS << doublings));
         view.ejections += 1;
         view.failures = 0;
         true
     }
 
+    /// Forgets failures since `since`, whose cause may be this host's own link.
+    pub(super) fn forget_failures_since(&self, since: Moment) {
+        let mut view = self.view.borrow_mut();
+        let Some(observed) = &mut view.observed else {
+            return;
+        };
+        observed.failures = 0;
+        if observed.ejected_until.is_some() && observed.ejected_at >= since {
+            observed.ejected_until = None;
+            observed.ejections = 0;
+        }
+        if observed
+            .slowdown
+            .is_some_and(|slowdown| slowdown.at >= since)
+        {
+            observed.slowdown = None;
+            observed.last_factor = None;
+        }
+    }
+
+    /// When it last answered a request of this host.
+    #[must_use]
+    pub fn last_success(&self) -> Option<Moment> {
+        let view = self.view.borrow();
+        view.observed.as_ref()?.last_success
+    }
+
     /// Ejects the server until `until`; it is probed afterwards, as after failures.
     pub(super) fn eject_until(&self, until: Moment) {
         self.view.borrow_mut().observed_mut().ejected_until = Some(until);
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -274,6 +274,7 @@
             configuration_age_ms: self.configuration_age_ms(),
             servers_age_ms: self.servers_age_ms(),
             servers_reached_age_ms: self.servers_reached_age_ms(),
+            reaches_servers: self.reaches_servers(),
             servers: self.fleet.borrow().servers().count(),
             servers_indexed: self.fleet.borrow().servers_indexed(),
             peers: self.peers.borrow().records().count(),
@@ -314,6 +315,7 @@
         self.on_leaving_tick();
         self.on_evacuation_tick();
         self.on_rollout_tick();
+        self.on_reachability_tick();
         join::broadcast_discovered(self);
         self.log.flush();
     }
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -11,7 +11,8 @@
 use super::store::ObjectStore;
 use super::wire::WireProtocol;
 use super::{
-    follow, gossip, host_entries, join_client, limit_role, listen, quarantine_role, rollout_role,
+    follow, gossip, host_entries, join_client, limit_role, listen, quarantine_role,
+    reachability_role, rollout_role,
 };
 use crate::error;
 use crate::event::EventCode;
@@ -52,6 +53,7 @@
     follow::spawn(&host, &store);
     host_entries::spawn(&host, &store);
     quarantine_role::spawn(&host, &store);
+    reachability_role::spawn(&host);
     rollout_role::spawn(&host, &store);
     run_event_loop(&host, &store, file, signals).await;
     host.log_event(
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -26,6 +26,8 @@
     RefusedFull,
     /// Refused: no server may serve it.
     RefusedNoServer,
+    /// Refused: this host reaches no server of the service, and no other host serves it.
+    RefusedUnreachable,
     /// Refused: there is no configuration yet.
     RefusedUnconfigured,
     /// Refused: there is no list of servers yet.
@@ -56,6 +58,7 @@
             Self::Answered => "answered",
             Self::RefusedFull => "refused_full",
             Self::RefusedNoServer => "refused_no_server",
+            Self::RefusedUnreachable => "refused_unreachable",
             Self::RefusedUnconfigured => "refused_unconfigured",
             Self::RefusedUnlisted => "refused_unlisted",
             Self::RefusedLeaving => "refused_leaving",
@@ -134,6 +137,8 @@
     /// Time since any server was reached, in milliseconds; `None` before the first, and the metric
     /// is then omitted.
     pub servers_reached_age_ms: Option<u64>,
+    /// Whether servers of at least one service are reached.
+    pub reaches_servers: bool,
     /// Known backend servers.
     pub servers: usize,
     /// How often a server was inserted into the indexes.
@@ -266,7 +271,7 @@
         page
     }
 
-    fn unlabelled(&self, current: &CurrentFigures) -> [(&'static str, u64); 31] {
+    fn unlabelled(&self, current: &CurrentFigures) -> [(&'static str, u64); 32] {
         [
             ("ledgespool_within_limit_total", self.within_limit),
             ("ledgespool_limit_hosts", u64::from(current.limit_hosts)),
@@ -315,6 +320,10 @@
             ("ledgespool_store_era", current.store_epoch),
             ("ledgespool_servers", current.servers as u64),
             ("ledgespool_servers_indexed_total", current.servers_indexed),
+            (
+                "ledgespool_servers_unreachable",
+                u64::from(!current.reaches_servers),
+            ),
             ("ledgespool_peers", current.peers as u64),
             (
                 "ledgespool_idle_connections",
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -18,7 +18,7 @@
 use super::host::EntryHost;
 use super::open_request::OpenRequest;
 use super::peer_message::PeerMessage;
-use super::pool::{self, ConnectFault};
+use super::pool::ConnectFault;
 use super::quarantine::message::{QuarantineDigest, QuarantineMessage, ServerCrash, SuspectRecord};
 use super::quarantine::table::{QuarantineTable, SuspectChange, SuspectState};
 use super::quarantine::{
@@ -144,19 +144,18 @@
 }
 
 async fn check_server<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, server: rc::Rc<FleetServer>) {
-    let limit = host.latencies.borrow().connect_timeout(&server.region);
-    let source = host.settings().server_source_address;
-    let connected = pool::connect(&server, source, limit).await;
+    let connected = host.open_connection(&server).await;
     let requests = host.quarantine.take_broken(&server.id);
     match connected {
         Ok(sender) if server.takes_work() => {
-            host.on_server_reached();
             let mut pool = host.pool.borrow_mut();
             pool.put(&server.id, sender, None, host.now());
         }
         // The server is running, or is not reachable from here: neither incriminates the requests.
-        Ok(_) | Err(ConnectFault::Unreachable) => {}
+        Ok(_) => {}
+        Err(ConnectFault::Unreachable) => host.on_connection_failed(&server),
         Err(ConnectFault::Refused) => {
+            host.on_connection_failed(&server);
             host.on_server_unreachable(&server);
             host.on_server_crashed(&server, &requests);
         }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -177,6 +177,7 @@
             exchange::return_to_pool(&self.host, &self.server, self.sender, &self.head);
         } else {
             self.host.on_server_failure(&self.server);
+            self.host.on_connection_failed(&self.server);
             quarantine_role::on_broken(&self.host, &self.server, self.fingerprint);
         }
     }
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -40,9 +40,12 @@
     pub(super) const fn code(&self) -> ResultCode {
         match (self.completion, self.status) {
             (RequestCompletion::RefusedFull, _) => ResultCode::BudgetExhausted,
-            (RequestCompletion::RefusedNoServer | RequestCompletion::RefusedUnlisted, _) => {
-                ResultCode::NoHealthyServer
-            }
+            (
+                RequestCompletion::RefusedNoServer
+                | RequestCompletion::RefusedUnreachable
+                | RequestCompletion::RefusedUnlisted,
+                _,
+            ) => ResultCode::NoHealthyServer,
             (RequestCompletion::RefusedUnconfigured, _) => ResultCode::ConfigurationMissing,
             (RequestCompletion::RefusedLeaving, _) => ResultCode::HostLeaving,
             (RequestCompletion::RefusedLimit, _) => ResultCode::LimitReached,
@@ -173,6 +176,16 @@
         )
     }
 
+    /// No server of the service accepts connections of this host, and no other host serves the
+    /// request.
+    pub(super) const fn unreachable(retry_after_ms: u64) -> Self {
+        Self::refused(
+            RequestCompletion::RefusedUnreachable,
+            retry_after_ms,
+            "no server of the service can be reached",
+        )
+    }
+
     /// Every server that got the request reported that it did not run it.
     pub(super) const fn not_run(retry_after_ms: u64) -> Self {
         Self::refused(
--- a/src/entry/server_observations.rs
+++ b/src/entry/server_observations.rs
@@ -20,6 +20,10 @@
     /// The time of the previous answer, as a multiple of the typical time.
     pub(super) last_factor: Option<f64>,
     pub(super) failures: u32,
+    /// When its last answer arrived.
+    pub(super) last_success: Option<Moment>,
+    /// The start of the last ejection.
+    pub(super) ejected_at: Moment,
     pub(super) ejected_until: Option<Moment>,
     pub(super) ejections: u32,
     pub(super) cold_sends: collections::VecDeque<Moment>,
--- a/src/event.rs
+++ b/src/event.rs
@@ -102,6 +102,8 @@
     ServerRests = 5024, Warn, "A backend server turned a request away and wants none from this host for a while.";
     SentToLeaving = 5025, Info, "A request was sent to a backend server that leaves, since no other may serve it.";
     RolloutChanged = 5026, Info, "The traffic of a service moves on to another version, has moved, or is taken back from it.";
+    ServersUnreachable = 5027, Warn, "No backend server of a service accepts connections of this host; they are tried again at short intervals.";
+    ServersReached = 5028, Info, "A backend server of a service accepts connections of this host again.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod platform_link;
 pub mod port;
 pub mod ramp;
+pub mod reachability;
 pub mod report;
 pub mod request_trace;
 pub mod result_code;
