Hosts do not report crashes and failures that may be their own link's

A rollout would have counted a partitioned host's lost requests against the new version.

Cause: "the connection broke and the next one is refused" was taken for an observation of the server.

Change: a crash is reported only if another server of the service accepts a connection at that moment. If none does, the host waits until it reaches one again and asks the server itself; a server that accepts has not crashed (EV5029). Lost and late requests count for a rollout once a later request or connection succeeded, and not if the service turns out to be unreachable. A partitioned host doesn't take the probe of a blocked request.

Evidence: `a_partition_is_not_reported_as_server_crashes` fails on (3 servers reported) and passes now; the seven tests of deadly requests pass.

--- a/src/entry/attempts/outcome.rs
+++ b/src/entry/attempts/outcome.rs
@@ -41,6 +41,7 @@
         let is_slow = !server.is_cold(now)
             && took_ms > self.open.route.goal_ms
             && took_ms as f64 > expected_ms * rollout_role::SLOW_ANSWER_FACTOR;
+        let is_unanswered = matches!(outcome, AttemptOutcome::TimedOut | AttemptOutcome::Lost(_));
         let is_bad = match outcome {
             AttemptOutcome::Answered(answer) => answer.head.status.is_server_error() || is_slow,
             AttemptOutcome::TimedOut | AttemptOutcome::Lost(_) => true,
@@ -56,7 +57,12 @@
             version: server.version,
             is_bad,
         };
-        self.host.rollouts.on_answer(&server.service, &answer);
+        if is_unanswered {
+            // Counted once it is certain that this host's own link is not the cause.
+            self.host.rollouts.on_unanswered(server, &answer, now);
+        } else {
+            self.host.rollouts.on_answer(&server.service, &answer);
+        }
     }
 
     pub(super) fn on_timeout(
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -6,7 +6,7 @@
 
 mod store;
 
-use std::{cell, collections, net, rc};
+use std::{cell, collections, net, rc, time};
 
 use serde_json::json;
 use tokio::sync::Notify;
@@ -31,6 +31,11 @@
 use self::store::StoreTask;
 pub(super) use self::store::spawn;
 
+/// How long a crash stays in doubt while this host reaches no server, in milliseconds.
+const MAX_DOUBT_MS: u64 = 20_000;
+/// How often a host checks whether it reaches a server again.
+const DOUBT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// The source, in events, of suspects that were read from the store.
 const STORE_SOURCE: &str = "store";
 
@@ -157,9 +162,36 @@
         Err(ConnectFault::Refused) => {
             host.on_connection_failed(&server);
             host.on_server_unreachable(&server);
-            host.on_server_crashed(&server, &requests);
+            if has_crashed(&host, &server).await {
+                host.on_server_crashed(&server, &requests);
+            } else {
+                host.log_unconfirmed_crash(&server, &requests);
+            }
+        }
+    }
+}
+
+/// Decides whether a server that refuses connections has crashed. If this host reaches no other
+/// server either, its own link may have failed. It then waits until it reaches one, and tries the
+/// server again.
+async fn has_crashed<W: WireProtocol>(host: &EntryHost<W>, server: &FleetServer) -> bool {
+    if host.reaches_another(server).await {
+        return true;
+    }
+    let refused = host.now();
+    while !host.is_reach_confirmed_since(&server.service, refused) {
+        if host.now().since(refused) > MAX_DOUBT_MS {
+            return false;
         }
+        tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
     }
+    let incarnation = server.incarnation_hash;
+    let is_gone = host.fleet.borrow().of_incarnation(incarnation).is_none();
+    is_gone
+        || matches!(
+            host.open_connection(server).await,
+            Err(ConnectFault::Refused)
+        )
 }
 
 /// Handles a message about suspects from another host.
@@ -203,6 +235,7 @@
         let peers = self.peers.borrow();
         peers.is_membership_complete()
             && !self.is_leaving()
+            && self.reaches_servers()
             && peers.is_first_tracker(&self.record(), fingerprint, now)
     }
 
@@ -236,10 +269,7 @@
     /// Handles a crash of a server on which `requests` of this host were in flight.
     fn on_server_crashed(&self, server: &FleetServer, requests: &[RequestFingerprint]) {
         self.metrics.borrow_mut().servers_crashed += 1;
-        let listed = requests.iter().take(MAX_REQUESTS_PER_DATAGRAM);
-        let listed: Vec<String> = listed.map(ToString::to_string).collect();
-        let fields = json!({ "server": server.id, "count": requests.len(), "requests": listed });
-        self.log_event(EventCode::ServerEnded, fields);
+        self.log_crash(EventCode::ServerEnded, server, requests);
         for chunk in requests.chunks(MAX_REQUESTS_PER_DATAGRAM) {
             let crash = ServerCrash {
                 server: server.hash,
@@ -250,6 +280,17 @@
         }
     }
 
+    fn log_unconfirmed_crash(&self, server: &FleetServer, requests: &[RequestFingerprint]) {
+        self.log_crash(EventCode::ServerEndDoubted, server, requests);
+    }
+
+    fn log_crash(&self, event: EventCode, server: &FleetServer, requests: &[RequestFingerprint]) {
+        let listed = requests.iter().take(MAX_REQUESTS_PER_DATAGRAM);
+        let listed: Vec<String> = listed.map(ToString::to_string).collect();
+        let fields = json!({ "server": server.id, "count": requests.len(), "requests": listed });
+        self.log_event(event, fields);
+    }
+
     /// Records a server's crash for each request that was in flight on it, and announces the
     /// suspects that all hosts must know. Returns the requests that only their suspect trackers
     /// need to know.
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -201,6 +201,20 @@
         self.reachability.table.borrow().is_unreachable(service)
     }
 
+    /// Whether a server of `service` was certainly reached after `at`.
+    pub(super) fn is_reach_confirmed_since(&self, service: &str, at: Moment) -> bool {
+        let table = self.reachability.table.borrow();
+        table.is_confirmed_since(service, at)
+    }
+
+    /// Whether another server of the service accepts a connection now.
+    pub(super) async fn reaches_another(&self, server: &FleetServer) -> bool {
+        // An ejected server is the last choice.
+        self.connect_to_any(&server.service, SERVERS_PER_CHECK)
+            .await
+            .is_some()
+    }
+
     /// Whether requests for `service` may be sent to its servers by this host. While none accepts
     /// connections, open ones may still work.
     pub(super) fn may_send(&self, service: &str) -> bool {
--- a/src/entry/rollout_role.rs
+++ b/src/entry/rollout_role.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 
+use super::fleet_server::FleetServer;
 use super::follow;
 use super::gossip;
 use super::hash;
@@ -37,6 +38,17 @@
 pub struct RolloutRole {
     table: cell::RefCell<RolloutTable>,
     last_report: cell::Cell<Moment>,
+    /// Requests without an answer that are not counted yet.
+    unconfirmed: cell::RefCell<Vec<UnconfirmedFailure>>,
+}
+
+/// A request without an answer, whose cause may be this host's own link.
+#[derive(Debug)]
+struct UnconfirmedFailure {
+    service: rc::Rc<str>,
+    route: String,
+    version: VersionTag,
+    at: Moment,
 }
 
 impl RolloutRole {
@@ -55,6 +67,25 @@
         self.table.borrow_mut().on_answer(service, answer);
     }
 
+    /// Records a request without an answer. It counts as soon as this host certainly reaches a server
+    /// of the service, and not at all if it turns out to reach none.
+    pub(super) fn on_unanswered(
+        &self,
+        server: &FleetServer,
+        answer: &RolloutAnswer<'_>,
+        now: Moment,
+    ) {
+        if self.table.borrow().is_empty() {
+            return;
+        }
+        self.unconfirmed.borrow_mut().push(UnconfirmedFailure {
+            service: rc::Rc::clone(&server.service),
+            route: answer.route.to_owned(),
+            version: answer.version,
+            at: now,
+        });
+    }
+
     /// Stores the report of a host in this region.
     pub(super) fn on_host_report(&self, report: RolloutReport, now: Moment) {
         self.table.borrow_mut().on_host_report(report, now);
@@ -145,8 +176,32 @@
         self.peers.borrow().is_first_watcher(&self.record(), now)
     }
 
+    /// Counts failures whose cause is certainly not this host's own link, and drops those whose cause
+    /// probably is.
+    fn settle_unconfirmed_failures(&self) {
+        let unconfirmed = self.rollouts.unconfirmed.take();
+        let open = unconfirmed.into_iter().filter(|failure| {
+            if self.is_unreachable(&failure.service) {
+                return false;
+            }
+            if !self.is_reach_confirmed_since(&failure.service, failure.at) {
+                return true;
+            }
+            let answer = RolloutAnswer {
+                route: &failure.route,
+                version: failure.version,
+                is_bad: true,
+            };
+            self.rollouts.on_answer(&failure.service, &answer);
+            false
+        });
+        let open: Vec<UnconfirmedFailure> = open.collect();
+        *self.rollouts.unconfirmed.borrow_mut() = open;
+    }
+
     /// For each rollout in progress, reports the counts to the leader or, as the leader, decides.
     pub(super) fn on_rollout_tick(&self) {
+        self.settle_unconfirmed_failures();
         let now = self.now();
         let is_early =
             now.since(self.rollouts.last_report.get()) < report_schedule::MIN_REPORT_INTERVAL_MS;
--- a/src/event.rs
+++ b/src/event.rs
@@ -104,6 +104,7 @@
     RolloutChanged = 5026, Info, "The traffic of a service moves on to another version, has moved, or is taken back from it.";
     ServersUnreachable = 5027, Warn, "No backend server of a service accepts connections of this host; they are tried again at short intervals.";
     ServersReached = 5028, Info, "A backend server of a service accepts connections of this host again.";
+    ServerEndDoubted = 5029, Info, "A backend server broke connections and refused new ones while this host reached no other either; its requests are not blamed.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -21,6 +21,9 @@
 #[derive(Debug, Default)]
 struct ServiceReachability {
     last_connected: Option<Moment>,
+    /// The last moment at which a server was certainly reached: a connection opened, or a request
+    /// was sent that was answered.
+    last_confirmed: Option<Moment>,
     /// The start of the last check, and whether it is still running.
     last_check: Option<(Moment, bool)>,
     /// The start of the check that found no server.
@@ -61,6 +64,7 @@
     pub fn on_connected(&mut self, service: &rc::Rc<str>, now: Moment) -> Option<u64> {
         let entry = self.entry(service);
         entry.last_connected = Some(now);
+        entry.last_confirmed = Some(now);
         entry.silent_since = now;
         entry.last_open_answer = None;
         let since = entry.unreachable_since.take();
@@ -80,6 +84,7 @@
     pub fn on_answered(&mut self, service: &rc::Rc<str>, sent: Moment, now: Moment) {
         let entry = self.entry(service);
         entry.silent_since = now;
+        entry.last_confirmed = entry.last_confirmed.max(Some(sent));
         if entry.unreachable_since.is_some_and(|since| sent >= since) {
             entry.last_open_answer = Some(now);
         }
@@ -134,6 +139,15 @@
         entry.and_then(|entry| entry.last_connected)
     }
 
+    /// Whether a server of the service was certainly reached after `at`. What a host observed at
+    /// `at` may otherwise be a failure of its own link.
+    #[must_use]
+    pub fn is_confirmed_since(&self, service: &str, at: Moment) -> bool {
+        let entry = self.services.get(service);
+        let confirmed = entry.and_then(|entry| entry.last_confirmed);
+        confirmed.is_some_and(|confirmed| confirmed > at)
+    }
+
     /// Whether no server of the service accepts connections of this host.
     #[must_use]
     pub fn is_unreachable(&self, service: &str) -> bool {
