Hosts that reach no server say so and are advertised last

What callers saw: partitioned hosts stayed ready and in all look-ups, so callers kept choosing them.

Cause: readiness and look-ups know the configuration and the list of servers; nothing told whether a host reaches any.

A host that reaches no server is not ready while another host reaches some, closes callers' connections after a response, and is advertised only if all hosts of all regions are such. Then all are ready and advertised as before, since none is better.

--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -258,6 +258,19 @@
         !self.is_leaving() && self.routes.borrow().is_some() && self.fleet.borrow().is_listed()
     }
 
+    /// Whether callers should be sent to this host: it can serve them, and either reaches servers
+    /// or knows no other host that does.
+    #[must_use]
+    pub fn wants_callers(&self) -> bool {
+        self.is_ready() && !self.should_redirect_callers()
+    }
+
+    /// Whether callers are better served by another host, since this one reaches no server.
+    #[must_use]
+    pub fn should_redirect_callers(&self) -> bool {
+        !self.reaches_servers() && self.peers.borrow().any_reaches_servers(self.now())
+    }
+
     /// Logs that a message of another host could not be decoded.
     pub fn log_malformed_message(&self, source: &str, fault: &PeerFormatError) {
         let fields = json!({ "source": source, "fault": fault.to_string() });
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -16,6 +16,7 @@
 use super::configuration::ServiceConfiguration;
 use super::host::EntryHost;
 use super::peer_message::PeerFormatError;
+use super::peers::ServingHost;
 use super::settings::EntrySettings;
 use super::wire::{HostCall, LookupRequest, WireProtocol};
 use super::{catch_up, join, peer_message, request, retention_review};
@@ -157,7 +158,9 @@
 ) {
     serve_small(host, stream, |host, request| {
         match host.wire.read_host_call(request.method(), request.uri()) {
-            Some(HostCall::Readiness) if host.is_ready() => empty_response(http::StatusCode::OK),
+            Some(HostCall::Readiness) if host.wants_callers() => {
+                empty_response(http::StatusCode::OK)
+            }
             Some(HostCall::Readiness) => empty_response(http::StatusCode::SERVICE_UNAVAILABLE),
             Some(HostCall::Lookup(request)) => lookup(host, &request),
             None => empty_response(http::StatusCode::NOT_FOUND),
@@ -170,8 +173,11 @@
     host: &EntryHost<W>,
     request: &LookupRequest,
 ) -> http::Response<Full<Bytes>> {
-    let own = host.record();
-    let own = host.is_ready().then_some(&own);
+    let record = host.record();
+    let own = host.is_ready().then(|| ServingHost {
+        record: &record,
+        reaches_servers: host.reaches_servers(),
+    });
     let peers = host.peers.borrow();
     let live = peers.advertised_for(&request.region, own, host.now());
     let sample = sample_hosts(live.addresses, &mut host.random.borrow_mut());
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -14,7 +14,7 @@
 
 /// The format number. Hosts ignore messages with another number, so that two versions of the
 /// program can run side by side during an upgrade.
-const FORMAT: u8 = 9;
+const FORMAT: u8 = 10;
 
 /// Why a message of another host could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -103,6 +103,8 @@
     pub record: Option<HostRecord>,
     /// Whether the host serves callers.
     pub ready: bool,
+    /// Whether the host reaches servers of at least one service.
+    pub reaches_servers: bool,
     /// Whether the host is shutting down.
     pub leaving: bool,
     /// Whether the host watches the store.
@@ -160,6 +162,8 @@
     pub age_tenths: u8,
     /// Whether the host serves callers.
     pub ready: bool,
+    /// Whether the host reaches servers of at least one service.
+    pub reaches_servers: bool,
     /// Whether the host watches the store.
     pub watch: WatchState,
 }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -69,6 +69,8 @@
     last_seen: Option<Moment>,
     discovered_at: Moment,
     ready: bool,
+    /// Whether it reaches servers of at least one service.
+    reaches_servers: bool,
     leaving: bool,
     watch: WatchState,
 }
@@ -101,6 +103,7 @@
         let starts_leaving = heartbeat.leaving && !self.leaving;
         self.last_seen = Some(now);
         self.ready = heartbeat.ready;
+        self.reaches_servers = heartbeat.reaches_servers;
         self.watch = heartbeat.watch;
         // A leaving host never returns in the same run; a late datagram must not reset the flag.
         self.leaving |= heartbeat.leaving;
@@ -112,6 +115,15 @@
     }
 }
 
+/// A host that can serve callers.
+#[derive(Debug, Clone, Copy)]
+pub struct ServingHost<'a> {
+    /// Its record.
+    pub record: &'a HostRecord,
+    /// Whether it reaches servers of at least one service.
+    pub reaches_servers: bool,
+}
+
 /// Hosts that callers may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct AdvertisedHosts {
@@ -173,6 +185,7 @@
             last_seen: None,
             discovered_at: now,
             ready: false,
+            reaches_servers: true,
             leaving: false,
             watch: WatchState::Idle,
         };
@@ -327,41 +340,47 @@
     }
 
     /// The hosts to advertise to a caller in `region`: all that are alive, ready and not leaving,
-    /// and `own`. Hosts of other regions are included only if the caller's region has none.
+    /// and `own`. Hosts of other regions are included only if the caller's region has none. Hosts
+    /// that reach no server are included only if all hosts of all regions are such.
     #[must_use]
     pub fn advertised_for(
         &self,
         region: &str,
-        own: Option<&HostRecord>,
+        own: Option<ServingHost<'_>>,
         now: Moment,
     ) -> AdvertisedHosts {
-        let local = self.live_addresses(|record| record.region == region, own, now);
-        if !local.is_empty() {
-            return AdvertisedHosts {
-                addresses: local,
-                is_remote: false,
-            };
-        }
+        let live: Vec<ServingHost<'_>> = self.serving_hosts(now).chain(own).collect();
+        let reaches_any = live.iter().any(|host| host.reaches_servers);
+        let wanted = live
+            .iter()
+            .filter(|host| host.reaches_servers || !reaches_any);
+        let (local, remote): (Vec<&HostRecord>, Vec<&HostRecord>) = wanted
+            .map(|host| host.record)
+            .partition(|record| record.region == region);
+        let is_remote = local.is_empty();
+        let records = if is_remote { remote } else { local };
+        let addresses = records.into_iter().map(|record| record.caller_address);
         AdvertisedHosts {
-            addresses: self.live_addresses(|_| true, own, now),
-            is_remote: true,
+            addresses: addresses.collect(),
+            is_remote,
         }
     }
 
-    fn live_addresses(
-        &self,
-        is_wanted: impl Fn(&HostRecord) -> bool,
-        own: Option<&HostRecord>,
-        now: Moment,
-    ) -> Vec<net::SocketAddr> {
-        let live = self.peers.values().filter(|peer| {
+    /// Whether another host that serves callers reaches servers.
+    #[must_use]
+    pub fn any_reaches_servers(&self, now: Moment) -> bool {
+        self.serving_hosts(now).any(|host| host.reaches_servers)
+    }
+
+    /// The other hosts that are alive, ready and not leaving.
+    fn serving_hosts(&self, now: Moment) -> impl Iterator<Item = ServingHost<'_>> {
+        let live = self.peers.values().filter(move |peer| {
             let timeout_ms = self.timeout_ms(&peer.record.region);
             peer.is_active(now, timeout_ms) && peer.ready
         });
-        live.map(|peer| &peer.record)
-            .chain(own)
-            .filter(|record| is_wanted(record))
-            .map(|record| record.caller_address)
-            .collect()
+        live.map(|peer| ServingHost {
+            record: &peer.record,
+            reaches_servers: peer.reaches_servers,
+        })
     }
 }
--- a/src/entry/peers/peer_status.rs
+++ b/src/entry/peers/peer_status.rs
@@ -85,6 +85,7 @@
             // The check above bounds the age by `max_age_ms`, and all callers pass less than 25 s.
             age_tenths: age_tenths as u8,
             ready: self.ready,
+            reaches_servers: self.reaches_servers,
             watch: self.watch,
         })
     }
@@ -96,6 +97,7 @@
         if status.run_low == run_low(self.record.run) && is_newer {
             self.last_seen = Some(sent_at);
             self.ready = status.ready;
+            self.reaches_servers = status.reaches_servers;
             self.watch = status.watch;
         }
     }
--- a/src/entry/peers/reconcile.rs
+++ b/src/entry/peers/reconcile.rs
@@ -94,6 +94,7 @@
             run_low: run_low(heartbeat.run),
             age_tenths: 0,
             ready: heartbeat.ready,
+            reaches_servers: heartbeat.reaches_servers,
             watch: heartbeat.watch,
         };
         let mut unknown = Vec::new();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -128,7 +128,7 @@
             let after = time::Duration::from_millis(retry_after_ms);
             host.wire.write_retry_after(response.headers_mut(), after);
         }
-        close_if_leaving(host, response.headers_mut());
+        close_if_unwanted(host, response.headers_mut());
         response
     }
 }
@@ -149,8 +149,9 @@
     }
 }
 
-fn close_if_leaving<W: WireProtocol>(host: &EntryHost<W>, headers: &mut http::HeaderMap) {
-    if host.is_leaving() {
+/// Closes the caller's connection after the response if its next request should go to another host.
+fn close_if_unwanted<W: WireProtocol>(host: &EntryHost<W>, headers: &mut http::HeaderMap) {
+    if host.is_leaving() || host.should_redirect_callers() {
         let close = http::HeaderValue::from_static("close");
         headers.insert(http::header::CONNECTION, close);
     }
@@ -211,7 +212,7 @@
     let mut response = http::Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    close_if_leaving(host, response.headers_mut());
+    close_if_unwanted(host, response.headers_mut());
     response
 }
 
--- a/src/entry/self_report.rs
+++ b/src/entry/self_report.rs
@@ -44,6 +44,7 @@
             run: self.run,
             record: whole.then(|| self.record()),
             ready: self.is_ready(),
+            reaches_servers: self.reaches_servers(),
             leaving: self.is_leaving(),
             watch: self.watch.state(),
             configuration_version: self.configuration_version(),
--- a/tests/common/peer_records.rs
+++ b/tests/common/peer_records.rs
@@ -26,6 +26,7 @@
         run: record.run,
         record: Some(record.clone()),
         ready: true,
+        reaches_servers: true,
         leaving: false,
         watch,
         configuration_version: 1,
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -9,7 +9,7 @@
 use ledgespool::entry::peer_message::{self, PeerHeartbeat, PeerMessage, PeerStatus, WatchState};
 use ledgespool::entry::peers::{
     HEARTBEAT_FANOUT, HostRecord, INDIRECT_PEER_TIMEOUT_MS, PEER_TIMEOUT_MS, PeerChange, PeerTable,
-    WATCHERS_PER_REGION,
+    ServingHost, WATCHERS_PER_REGION,
 };
 use ledgespool::timer::Moment;
 use proptest::prelude::*;
@@ -97,7 +97,44 @@
     let named = peers.advertised_for("one", None, Moment(0));
     assert!(named.is_remote && named.addresses.len() == 1);
     let own = host("own", "one", 200);
-    let named = peers.advertised_for("one", Some(&own), Moment(0));
+    let own = ServingHost {
+        record: &own,
+        reaches_servers: true,
+    };
+    let named = peers.advertised_for("one", Some(own), Moment(0));
+    assert!(!named.is_remote && named.addresses.len() == 1);
+}
+
+/// Callers were sent to hosts of their region, although these could not reach any server.
+#[test]
+fn hosts_that_reach_no_server_are_advertised_only_if_no_host_does() {
+    let mut peers = PeerTable::default();
+    let lost = PeerHeartbeat {
+        reaches_servers: false,
+        ..heartbeat(&host("lost", "one", 200), WatchState::Idle)
+    };
+    peers.on_heartbeat(&lost, Moment(0));
+    assert!(!peers.any_reaches_servers(Moment(0)));
+    let named = peers.advertised_for("one", None, Moment(0));
+    assert!(!named.is_remote && named.addresses.len() == 1);
+    let far = host("far", "two", 200);
+    peers.on_heartbeat(&heartbeat(&far, WatchState::Idle), Moment(0));
+    assert!(peers.any_reaches_servers(Moment(0)));
+    let named = peers.advertised_for("one", None, Moment(0));
+    assert!(named.is_remote && named.addresses == [far.caller_address]);
+    let own = host("own", "one", 200);
+    let own = ServingHost {
+        record: &own,
+        reaches_servers: false,
+    };
+    let named = peers.advertised_for("one", Some(own), Moment(0));
+    assert!(named.is_remote && named.addresses == [far.caller_address]);
+    let found = PeerHeartbeat {
+        reaches_servers: true,
+        ..lost
+    };
+    peers.on_heartbeat(&found, Moment(10));
+    let named = peers.advertised_for("one", Some(own), Moment(10));
     assert!(!named.is_remote && named.addresses.len() == 1);
 }
 
@@ -121,6 +158,7 @@
         run_low: 1,
         age_tenths,
         ready: true,
+        reaches_servers: true,
         watch: WatchState::Idle,
     }
 }
