A host that reaches no server of a service hands its requests to another host

Cause: a request could reach a server only over its own host's links.

Change: while a service is unreachable, its requests go over the peer address to another host that serves callers and reaches servers: one of three of the region, ranked by a hash of both hosts and chosen by open requests for its size, else of three of other regions; homes bind the choice. The first host has read the request, identified the customer and applied the limit; the other one selects servers and sends, within the attempts, the deadline and the counts that it is told, and never hands over again. A host that can't serve says so, and up to three are asked; a request without an answer is lost unless it may run more than once. If no host is left, the request is refused at once. Answers are streamed; a caller that leaves ends the connection, and with it the work. Keys don't travel.

--- a/src/entry/attempts/mod.rs
+++ b/src/entry/attempts/mod.rs
@@ -1,6 +1,8 @@
 //! Sends a caller's request to one backend server after another, until one answers or no further
-//! attempt is allowed. The submodule `outcome` handles the outcome of each attempt.
+//! attempt is allowed. The submodule `outcome` handles the outcome of each attempt, `handoff` hands
+//! requests over to other hosts.
 
+mod handoff;
 mod outcome;
 
 use std::rc;
@@ -9,8 +11,10 @@
 use super::choice::{self, ChoiceQuery, ChosenServer, NoServer, ServerChoice};
 use super::exchange::{self, AttemptOptions, AttemptOutcome, ServerAnswer};
 use super::fleet_server::FleetServer;
+use super::handoff::HandoffProgress;
 use super::host::EntryHost;
 use super::open_request::OpenRequest;
+use super::peers::HandoffTarget;
 use super::quarantine_role::SuspectAdmission;
 use super::request_failure::RequestFailure;
 use super::server_limit;
@@ -25,15 +29,22 @@
 /// A request with less time left than this, in milliseconds, is not sent, because its answer would
 /// be late.
 const MIN_TIME_LEFT_MS: u64 = 20;
-/// A request's answer and the server that gave it.
+/// A request's answer and where it came from.
 #[derive(Debug)]
 pub(super) struct AnsweredRequest {
-    /// The server.
-    pub(super) server: rc::Rc<FleetServer>,
-    /// Its answer.
+    /// Who sent it to this host.
+    pub(super) source: AnswerSource,
+    /// The server's answer.
     pub(super) answer: Box<ServerAnswer>,
-    /// The expected and the actual answer.
-    pub(super) attempt: AttemptRecord,
+}
+
+/// Who sent an answer to this host.
+#[derive(Debug)]
+pub(super) enum AnswerSource {
+    /// The server itself, with the expected and the actual answer.
+    Server(rc::Rc<FleetServer>, AttemptRecord),
+    /// Another host, which the request was handed over to.
+    Host(HandoffTarget),
 }
 
 /// Sends the request, if its customer's limit allows it, until a server answers or no further
@@ -42,8 +53,12 @@
     host: &rc::Rc<EntryHost<W>>,
     open: &OpenRequest,
 ) -> Result<AnsweredRequest, RequestFailure> {
+    if let Some(progress) = open.handoff {
+        return try_servers(host, open, admit_handoff(host, open, progress)).await;
+    }
     let admission = host.admit_suspect(open);
     if admission == SuspectAdmission::Blocked {
+        // Refused before it counts for the customer's limit.
         return Err(RequestFailure::QUARANTINED);
     }
     if let Some(customer) = &open.customer {
@@ -52,28 +67,48 @@
     try_servers(host, open, admission).await
 }
 
+/// The other host has applied the customer's limit and takes the probes of blocked requests.
+fn admit_handoff<W: WireProtocol>(
+    host: &EntryHost<W>,
+    open: &OpenRequest,
+    progress: HandoffProgress,
+) -> SuspectAdmission {
+    match (progress.is_probe, host.is_blocked(open)) {
+        (true, _) => SuspectAdmission::Probe,
+        (false, true) => SuspectAdmission::Blocked,
+        (false, false) => SuspectAdmission::Allowed,
+    }
+}
+
 async fn try_servers<W: WireProtocol>(
     host: &rc::Rc<EntryHost<W>>,
     open: &OpenRequest,
     admission: SuspectAdmission,
 ) -> Result<AnsweredRequest, RequestFailure> {
+    if admission == SuspectAdmission::Blocked {
+        return Err(RequestFailure::QUARANTINED);
+    }
+    let progress = open.handoff.unwrap_or_default();
     let mut attempts = RequestAttempts {
         host,
         open,
         admission,
         tried: Vec::new(),
-        sent: 0,
+        sent: progress.sends,
         attempt_count: 0,
         retried_same_server: false,
-        is_counted: false,
+        is_counted: progress.is_counted,
         last: None,
     };
     for _ in 0..MAX_ATTEMPTS {
         if !host.may_send(&open.service) {
-            return Err(attempts.last.unwrap_or_else(|| host.unreachable_failure()));
+            return attempts.hand_over().await;
         }
-        let Some((chosen, token)) = attempts.next_server().await? else {
-            break;
+        let (chosen, token) = match attempts.next_server().await {
+            Ok(Some(next)) => next,
+            Ok(None) | Err(_) if attempts.must_hand_over() => break,
+            Ok(None) => break,
+            Err(failure) => return Err(failure),
         };
         if let Some(answered) = attempts.attempt(chosen, token).await? {
             return Ok(answered);
@@ -82,6 +117,9 @@
             break;
         }
     }
+    if attempts.must_hand_over() {
+        return attempts.hand_over().await;
+    }
     Err(attempts.last.unwrap_or_else(|| attempts.not_run()))
 }
 
@@ -250,11 +288,8 @@
                     took_ms: self.host.now().since(began),
                     earlier_attempts: self.attempt_count - 1,
                 };
-                return Ok(Some(AnsweredRequest {
-                    server,
-                    answer,
-                    attempt,
-                }));
+                let source = AnswerSource::Server(server, attempt);
+                return Ok(Some(AnsweredRequest { source, answer }));
             }
             AttemptOutcome::TimedOut => return Err(self.on_timeout(&server, began, object_cached)),
             AttemptOutcome::NotSent => self.on_not_sent(&server),
--- a/src/entry/attempts/outcome.rs
+++ b/src/entry/attempts/outcome.rs
@@ -145,7 +145,7 @@
         Ok(())
     }
 
-    const fn record_sent(&mut self, failure: RequestFailure) {
+    pub(super) const fn record_sent(&mut self, failure: RequestFailure) {
         self.sent += 1;
         self.last = Some(failure);
     }
--- a/src/entry/configuration.rs
+++ b/src/entry/configuration.rs
@@ -268,6 +268,12 @@
         }
     }
 
+    /// Whether `service` gets a share of the route's requests.
+    #[must_use]
+    pub fn has_service(&self, service: &str) -> bool {
+        self.shares.iter().any(|share| share.service == service)
+    }
+
     /// Selects a service by weight: the one whose cumulative share contains `point`, a number from
     /// 0 to 1. Returns `None` if the route has no services.
     #[must_use]
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -290,42 +290,49 @@
     message
 }
 
-/// Reads a small answer completely and the first part of a large one.
 async fn read_body<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
     sender: ServerSender,
     head: http::response::Parts,
-    mut body: Incoming,
+    body: Incoming,
 ) -> AttemptOutcome {
+    let Ok((buffered, remaining)) = read_start(body).await else {
+        return AttemptOutcome::Lost(LossCause::Truncated);
+    };
+    let remaining = if let Some(remaining) = remaining {
+        Some((remaining, sender))
+    } else {
+        return_to_pool(host, server, sender, &head);
+        None
+    };
+    AttemptOutcome::Answered(Box::new(ServerAnswer {
+        head,
+        buffered,
+        remaining,
+    }))
+}
+
+/// Reads a small answer completely and the first part of a large one. Returns what was read, and
+/// the body if there is more.
+///
+/// # Errors
+/// When the connection breaks within the answer.
+pub(super) async fn read_start(
+    mut body: Incoming,
+) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
     let mut buffered = BytesMut::new();
     while buffered.len() <= MAX_BUFFERED_ANSWER_BYTES {
         match body.frame().await {
-            Some(Ok(frame)) => {
-                if let Ok(data) = frame.into_data() {
+            Some(frame) => {
+                if let Ok(data) = frame?.into_data() {
                     buffered.extend_from_slice(&data);
                 }
             }
-            Some(Err(_fault)) => {
-                return AttemptOutcome::Lost(LossCause::Truncated);
-            }
-            None => {
-                return_to_pool(host, server, sender, &head);
-                let answer = ServerAnswer {
-                    head,
-                    buffered: buffered.freeze(),
-                    remaining: None,
-                };
-                return AttemptOutcome::Answered(Box::new(answer));
-            }
+            None => return Ok((buffered.freeze(), None)),
         }
     }
-    let answer = ServerAnswer {
-        head,
-        buffered: buffered.freeze(),
-        remaining: Some((body, sender)),
-    };
-    AttemptOutcome::Answered(Box::new(answer))
+    Ok((buffered.freeze(), Some(body)))
 }
 
 /// Reads and discards the small body of a refusal, so that the connection can be reused.
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -21,6 +21,7 @@
 use super::fleet::Fleet;
 use super::fleet_server::FleetServer;
 use super::gossip::PeerSocket;
+use super::handoff::HandoffRole;
 use super::join::{self, JoinState};
 use super::leaving_updates::LeavingUpdates;
 use super::limit_role::LimitRole;
@@ -98,6 +99,7 @@
     pub(super) leaving_updates: LeavingUpdates,
     pub(super) rollouts: RolloutRole,
     pub(super) reachability: ReachabilityRole,
+    pub(super) handoffs: HandoffRole,
     /// The store's epoch, as observed by this host or reported by another.
     pub(super) store_epoch: cell::Cell<u64>,
 }
@@ -147,6 +149,7 @@
             leaving_updates: LeavingUpdates::default(),
             rollouts: RolloutRole::default(),
             reachability: ReachabilityRole::default(),
+            handoffs: HandoffRole::default(),
             store_epoch: cell::Cell::new(0),
         }
     }
@@ -329,6 +332,7 @@
         self.on_evacuation_tick();
         self.on_rollout_tick();
         self.on_reachability_tick();
+        self.handoffs.on_tick(now);
         join::broadcast_discovered(self);
         self.log.flush();
     }
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -4,7 +4,7 @@
 use std::{convert, net, rc, time};
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,7 +19,7 @@
 use super::peers::ServingHost;
 use super::settings::EntrySettings;
 use super::wire::{HostCall, LookupRequest, WireProtocol};
-use super::{catch_up, join, peer_message, request, retention_review};
+use super::{catch_up, handoff, join, peer_message, request, retention_review};
 use crate::error::{self, Error};
 use crate::listener;
 use crate::result_code::ResultCode;
@@ -210,7 +210,15 @@
 async fn serve_peer<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
     let service = service_fn(|request: http::Request<Incoming>| {
         let host = rc::Rc::clone(&host);
-        async move { Ok::<_, convert::Infallible>(serve_peer_request(&host, request).await) }
+        async move {
+            let response = if request.uri().path() == handoff::HANDOFF_PATH {
+                handoff::receive(&host, request).await.map(Either::Right)
+            } else {
+                let response = serve_peer_request(&host, request).await;
+                response.map(Either::Left)
+            };
+            Ok::<_, convert::Infallible>(response)
+        }
     });
     // A broken connection needs no handling here; the peer sees it.
     let _outcome = builder(DEFAULT_HEAD_TIMEOUT)
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -18,7 +18,9 @@
 const OTHER_CUSTOMERS: &str = "(others)";
 
 /// The outcome of a caller's request. A refused request was not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 pub enum RequestCompletion {
     /// A server's whole answer was delivered.
     Answered,
@@ -95,6 +97,10 @@
     pub retries: u64,
     /// Retries that the budget did not allow.
     pub retries_denied: u64,
+    /// Requests of callers that were answered by way of another host.
+    pub handed_over: u64,
+    /// Requests that this host served for others.
+    pub taken_over: u64,
     /// Connections opened to servers.
     pub connections: u64,
     /// Connections to servers that could not be opened.
@@ -271,12 +277,14 @@
         page
     }
 
-    fn unlabelled(&self, current: &CurrentFigures) -> [(&'static str, u64); 32] {
+    fn unlabelled(&self, current: &CurrentFigures) -> [(&'static str, u64); 34] {
         [
             ("ledgespool_within_limit_total", self.within_limit),
             ("ledgespool_limit_hosts", u64::from(current.limit_hosts)),
             ("ledgespool_repeats_total", self.retries),
             ("ledgespool_repeats_denied_total", self.retries_denied),
+            ("ledgespool_handed_over_total", self.handed_over),
+            ("ledgespool_taken_over_total", self.taken_over),
             ("ledgespool_connections_total", self.connections),
             ("ledgespool_connect_failures_total", self.connect_failures),
             ("ledgespool_shed_total", self.shed),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -41,6 +41,7 @@
 pub mod fleet_server;
 pub mod follow;
 pub mod gossip;
+pub mod handoff;
 pub mod hash;
 pub mod host;
 pub mod host_budget;
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -11,6 +11,9 @@
 use super::customer::{self, CustomerRule};
 use super::exchange::ForwardRequest;
 use super::fingerprint::{RequestContent, RequestFingerprint};
+use super::handoff::HandoffProgress;
+use super::handoff::message::HandoffRequest;
+use super::hash;
 use super::host::EntryHost;
 use super::request_failure::RequestFailure;
 use super::wire::{CallerHead, CallerKey, WireProtocol};
@@ -41,6 +44,8 @@
     pub(super) deadline: Moment,
     /// How long the caller waits, if it states that.
     pub(super) caller_timeout: Option<time::Duration>,
+    /// What another host has done for the request before it handed it over.
+    pub(super) handoff: Option<HandoffProgress>,
 }
 
 impl OpenRequest {
@@ -55,7 +60,8 @@
         if header_size(&head.headers) > routes.configuration().limits.header_bytes {
             return Err(RequestFailure::HEAD_TOO_LARGE);
         }
-        let route = match_route(&routes, &head).ok_or(RequestFailure::NO_ROUTE)?;
+        let route = match_route(&routes, &head.headers, &head.uri);
+        let route = route.ok_or(RequestFailure::NO_ROUTE)?;
         let caller = host.wire.read_caller(&head.headers);
         let customer = find_customer(&routes, &route, caller.key)?;
         let homes = allowed_regions(&route, customer.as_deref())?;
@@ -86,6 +92,58 @@
                 is_retryable: route.kind.is_retryable(),
             },
             route,
+            handoff: None,
+        })
+    }
+
+    /// Restores a request that another host has read. Its route is matched again, since this host's
+    /// configuration may be newer.
+    pub(super) fn from_handoff<W: WireProtocol>(
+        host: &EntryHost<W>,
+        request: HandoffRequest,
+    ) -> Result<Self, RequestFailure> {
+        let routes = host.routes().ok_or(RequestFailure::UNCONFIGURED)?;
+        let HandoffRequest { head, body } = request;
+        let malformed = RequestFailure::NO_ROUTE;
+        let method = head.method.parse().map_err(|_invalid| malformed)?;
+        let uri: http::Uri = head.uri.parse().map_err(|_invalid| malformed)?;
+        let headers = headers_from(&head.headers).ok_or(malformed)?;
+        let route = match_route(&routes, &headers, &uri).ok_or(malformed)?;
+        let customer = find_customer_by_name(&routes, head.customer.as_deref());
+        let homes = allowed_regions(&route, customer.as_deref())?;
+        let service = if route.has_service(&head.service) {
+            head.service
+        } else {
+            sample_service(host, &route)
+        };
+        let now = host.now();
+        let deadline = now.plus(head.time_left_ms.min(route.timeout_ms));
+        if host.may_stop_before(deadline) {
+            return Err(RequestFailure::LEAVING);
+        }
+        let caller = host.wire.read_caller(&headers);
+        Ok(Self {
+            customer,
+            homes,
+            object: object_hash(&caller, &route),
+            arrived: now.before(head.age_ms),
+            deadline,
+            caller_timeout: caller.time_left,
+            service,
+            forward: ForwardRequest {
+                id: head.id,
+                method,
+                uri,
+                headers,
+                body,
+                is_retryable: route.kind.is_retryable(),
+            },
+            route,
+            handoff: Some(HandoffProgress {
+                sends: head.sends,
+                is_counted: head.is_counted,
+                is_probe: head.is_probe,
+            }),
         })
     }
 
@@ -117,13 +175,31 @@
     bytes.sum::<usize>() as u64
 }
 
-fn match_route(routes: &RouteTable, head: &http::request::Parts) -> Option<rc::Rc<RouteRule>> {
-    let header = head.headers.get(http::header::HOST);
+fn headers_from(pairs: &[(String, Vec<u8>)]) -> Option<http::HeaderMap> {
+    let pairs = pairs.iter().map(|(name, value)| {
+        let name = name.parse::<http::HeaderName>().ok()?;
+        let value = http::HeaderValue::from_bytes(value).ok()?;
+        Some((name, value))
+    });
+    pairs.collect()
+}
+
+fn find_customer_by_name(routes: &RouteTable, name: Option<&str>) -> Option<rc::Rc<CustomerRule>> {
+    let customer = routes.customers()?.find_by_name_hash(hash::of_name(name?));
+    customer.map(rc::Rc::clone)
+}
+
+fn match_route(
+    routes: &RouteTable,
+    headers: &http::HeaderMap,
+    uri: &http::Uri,
+) -> Option<rc::Rc<RouteRule>> {
+    let header = headers.get(http::header::HOST);
     let header = header.and_then(|name| name.to_str().ok()).unwrap_or("");
     // An absolute URI in the request line takes precedence over the Host header (RFC 9112,
     // section 3.2.2).
-    let name = head.uri.host().unwrap_or(header);
-    let route = routes.find_route(without_port(name), head.uri.path());
+    let name = uri.host().unwrap_or(header);
+    let route = routes.find_route(without_port(name), uri.path());
     route.map(rc::Rc::clone)
 }
 
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -3,10 +3,11 @@
 //! [`PeerTable`] is filled from the store and from heartbeats. Its submodules handle one task each:
 //! `peer_status` the gossip about third hosts, `reconcile` finding missing hosts, `region_size`
 //! host counts, `targets` the recipients of datagrams, `watchers` the choice of hosts that watch
-//! the store, and `registration`, `coordinators`, `limit_owners` and `suspect_trackers` the choice
-//! of hosts for other duties.
+//! the store, and `registration`, `coordinators`, `limit_owners`, `suspect_trackers` and
+//! `handoff_targets` the choice of hosts for other duties.
 
 mod coordinators;
+mod handoff_targets;
 mod limit_owners;
 mod peer_status;
 mod reconcile;
@@ -19,6 +20,7 @@
 use std::{cell, collections, net, rc};
 
 pub use self::coordinators::CoordinatorAddress;
+pub use self::handoff_targets::{HandoffQuery, HandoffTarget};
 pub use self::limit_owners::{LimitOwner, LimitOwnerQuery};
 pub use self::registration::REGISTERED_HOSTS_PER_HALL;
 pub use self::targets::{HEARTBEAT_FANOUT, RELAYS_PER_HALL, UpdateTargets};
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -30,6 +30,9 @@
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 200..400;
 /// A connection that is closed within this time was not accepted by the server.
 const MIN_OPEN_TIME: time::Duration = time::Duration::from_millis(50);
+/// The same while a service is unreachable. A request that is sent too early is lost, while callers
+/// are served by other hosts meanwhile.
+const MIN_OPEN_TIME_UNREACHABLE: time::Duration = time::Duration::from_millis(150);
 /// Retry-after time of a request that no host can serve, in milliseconds. The end of the failure is
 /// unknown; the spread keeps refused callers from retrying at the same time.
 const RETRY_AFTER_MS: std::ops::Range<u64> = 500..1_500;
@@ -324,7 +327,12 @@
             self.metrics.borrow_mut().connect_failures += 1;
             return opened;
         };
-        tokio::time::sleep(MIN_OPEN_TIME).await;
+        let min_open_time = if self.is_unreachable(&server.service) {
+            MIN_OPEN_TIME_UNREACHABLE
+        } else {
+            MIN_OPEN_TIME
+        };
+        tokio::time::sleep(min_open_time).await;
         if sender.is_closed() {
             return Err(ConnectFault::Unreachable);
         }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -2,23 +2,25 @@
 //!
 //! Every request is logged and counted once in the metrics, also if its caller disconnects first.
 
-use std::{rc, time};
+use std::{net, rc, time};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
 use serde_json::json;
 
 use super::answer::{AnswerBody, StreamEnd};
-use super::attempts::{self, AnsweredRequest};
+use super::attempts::{self, AnswerSource, AnsweredRequest};
 use super::configuration::RouteRule;
 use super::customer::CustomerRule;
 use super::decision_log::LogPriority;
 use super::exchange;
 use super::fingerprint::RequestFingerprint;
 use super::fleet_server::FleetServer;
+use super::handoff::message::HandoffRequest;
 use super::host::EntryHost;
 use super::metrics_page::RequestCompletion;
 use super::open_request::OpenRequest;
+use super::peers::HandoffTarget;
 use super::pool::ServerSender;
 use super::quarantine_role;
 use super::request_failure::RequestFailure;
@@ -36,26 +38,53 @@
     host: rc::Rc<EntryHost<W>>,
     request: http::Request<Incoming>,
 ) -> CallerResponse<W> {
-    let mut guard = RequestGuard::begin(&host, request.headers());
+    let id = host.wire.read_caller(request.headers()).request_id;
+    let mut guard = RequestGuard::begin(&host, id.unwrap_or_default().to_owned());
     host.wait_until_ready().await;
-    let response = match OpenRequest::read(&host, request, guard.arrived).await {
-        Ok(open) => {
-            guard.route = Some(rc::Rc::clone(&open.route));
-            guard.customer.clone_from(&open.customer);
-            match attempts::run(&host, &open).await {
-                Ok(answered) => forward_answer(&host, &open, answered),
-                Err(failure) => {
-                    guard.fingerprint = Some(open.fingerprint());
-                    guard.fail(failure)
-                }
-            }
-        }
+    let open = OpenRequest::read(&host, request, guard.arrived).await;
+    let response = match process(&mut guard, open).await {
+        Ok(response) => response,
         Err(failure) => guard.fail(failure),
     };
     guard.completed = true;
     response
 }
 
+/// Serves a request that another host has read and handed over.
+///
+/// # Errors
+/// Why no server answered.
+pub(super) async fn serve_handoff<W: WireProtocol>(
+    host: rc::Rc<EntryHost<W>>,
+    request: HandoffRequest,
+) -> Result<CallerResponse<W>, RequestFailure> {
+    let id = request.head.id.clone().unwrap_or_default();
+    let mut guard = RequestGuard::begin(&host, id);
+    let open = OpenRequest::from_handoff(&host, request);
+    let result = process(&mut guard, open).await;
+    if let Err(failure) = &result {
+        guard.record_failure(failure);
+    }
+    guard.completed = true;
+    result
+}
+
+async fn process<W: WireProtocol>(
+    guard: &mut RequestGuard<W>,
+    open: Result<OpenRequest, RequestFailure>,
+) -> Result<CallerResponse<W>, RequestFailure> {
+    let open = open?;
+    guard.route = Some(rc::Rc::clone(&open.route));
+    guard.customer.clone_from(&open.customer);
+    match attempts::run(&guard.host, &open).await {
+        Ok(answered) => Ok(forward_answer(&guard.host, &open, answered)),
+        Err(failure) => {
+            guard.fingerprint = Some(open.fingerprint());
+            Err(failure)
+        }
+    }
+}
+
 /// Counts a request as open until it is dropped. Logs it as abandoned if the caller disconnects
 /// before a response is ready.
 #[derive(Debug)]
@@ -73,11 +102,10 @@
 }
 
 impl<W: WireProtocol> RequestGuard<W> {
-    fn begin(host: &rc::Rc<EntryHost<W>>, headers: &http::HeaderMap) -> Self {
+    fn begin(host: &rc::Rc<EntryHost<W>>, id: String) -> Self {
         host.on_request_begin();
-        let id = host.wire.read_caller(headers).request_id;
         Self {
-            id: id.unwrap_or_default().to_owned(),
+            id,
             host: rc::Rc::clone(host),
             route: None,
             customer: None,
@@ -92,8 +120,8 @@
         self.route.as_ref().map_or("", |route| &route.name)
     }
 
-    /// Logs the failure and builds the response that the caller gets for it.
-    fn fail(&self, failure: RequestFailure) -> CallerResponse<W> {
+    /// Logs and counts the failure.
+    fn record_failure(&self, failure: &RequestFailure) {
         let host = &self.host;
         let route = self.route_name();
         let millis = host.now().since(self.arrived);
@@ -119,6 +147,12 @@
             "fleet_revision": host.fleet.borrow().revision(),
         });
         host.log_event(EventCode::RequestFailed, fields);
+    }
+
+    /// Logs the failure and builds the response that the caller gets for it.
+    fn fail(&self, failure: RequestFailure) -> CallerResponse<W> {
+        let host = &self.host;
+        self.record_failure(&failure);
         let mut response = http::Response::new(AnswerBody::whole(Bytes::new()));
         *response.status_mut() = failure.status;
         if let Ok(code) = http::HeaderValue::from_str(&failure.code().to_string()) {
@@ -157,13 +191,28 @@
     }
 }
 
-/// Releases the server's slot and connection when a streamed answer ends.
+/// Releases the connection when a streamed answer ends.
 #[derive(Debug)]
 pub struct StreamedAnswer<W: WireProtocol> {
     host: rc::Rc<EntryHost<W>>,
+    sender: ServerSender,
+    source: StreamSource,
+}
+
+/// Where a streamed answer comes from.
+#[derive(Debug)]
+enum StreamSource {
+    /// A server, whose slot is released at the end.
+    Server(Box<ServerStream>),
+    /// Another host, by its peer address.
+    Host(net::SocketAddr),
+}
+
+/// A streamed answer of a server.
+#[derive(Debug)]
+struct ServerStream {
     server: rc::Rc<FleetServer>,
     head: http::response::Parts,
-    sender: ServerSender,
     slot: exchange::SlotGuard,
     /// Of the request that is being answered.
     fingerprint: RequestFingerprint,
@@ -173,24 +222,49 @@
 
 impl<W: WireProtocol> StreamEnd for StreamedAnswer<W> {
     fn on_end(self, complete: bool) {
-        drop(self.slot);
-        if complete {
-            exchange::return_to_pool(&self.host, &self.server, self.sender, &self.head);
-        } else {
-            self.host.on_server_failure(&self.server);
-            self.host.on_connection_failed(&self.server);
-            quarantine_role::on_broken(&self.host, &self.server, self.fingerprint);
+        let host = self.host;
+        match self.source {
+            StreamSource::Host(address) if complete => {
+                host.handoffs
+                    .put_connection(address, self.sender, host.now());
+            }
+            StreamSource::Host(address) => host.handoffs.avoid(address, host.now()),
+            StreamSource::Server(stream) => {
+                on_server_stream_end(&host, *stream, self.sender, complete);
+            }
         }
     }
 }
 
+fn on_server_stream_end<W: WireProtocol>(
+    host: &rc::Rc<EntryHost<W>>,
+    stream: ServerStream,
+    sender: ServerSender,
+    complete: bool,
+) {
+    let ServerStream {
+        server,
+        head,
+        slot,
+        fingerprint,
+    } = stream;
+    drop(slot);
+    if complete {
+        exchange::return_to_pool(host, &server, sender, &head);
+    } else {
+        host.on_server_failure(&server);
+        host.on_connection_failed(&server);
+        quarantine_role::on_broken(host, &server, fingerprint);
+    }
+}
+
 fn forward_answer<W: WireProtocol>(
     host: &rc::Rc<EntryHost<W>>,
     open: &OpenRequest,
     answered: AnsweredRequest,
 ) -> CallerResponse<W> {
     log_answer(host, open, &answered);
-    let AnsweredRequest { server, answer, .. } = answered;
+    let AnsweredRequest { source, answer } = answered;
     let answer = *answer;
     let headers = connection_headers::end_to_end(&answer.head.headers);
     let status = answer.head.status;
@@ -201,11 +275,18 @@
             remaining,
             on_end: Some(StreamedAnswer {
                 host: rc::Rc::clone(host),
-                slot: exchange::SlotGuard::at(&server),
-                server,
-                head: answer.head,
                 sender,
-                fingerprint: open.fingerprint(),
+                source: match source {
+                    AnswerSource::Host(target) => StreamSource::Host(target.address),
+                    AnswerSource::Server(server, _) => {
+                        StreamSource::Server(Box::new(ServerStream {
+                            slot: exchange::SlotGuard::at(&server),
+                            server,
+                            head: answer.head,
+                            fingerprint: open.fingerprint(),
+                        }))
+                    }
+                },
             }),
         },
     };
@@ -225,19 +306,39 @@
     host.metrics
         .borrow_mut()
         .on_request(&open.route.name, RequestCompletion::Answered, millis);
+    let (server, attempt) = match &answered.source {
+        AnswerSource::Server(server, attempt) => (server, attempt),
+        AnswerSource::Host(target) => return log_handoff(host, open, target, millis),
+    };
     let fields = json!({
         "id": open.forward.id,
         "route": open.route.name,
-        "server": answered.server.id,
-        "hall": answered.server.hall,
+        "server": server.id,
+        "hall": server.hall,
         "status": answered.answer.head.status.as_u16(),
         "after_ms": millis,
         "goal_ms": open.route.goal_ms,
         "time_left_ms": open.caller_timeout.map(|left| left.as_millis() as u64),
         "customer": open.customer.as_ref().map(|customer| &customer.name),
         "object": open.object.map(|object| format!("{object:016x}")),
-        "offer": answered.attempt,
+        "offer": attempt,
     });
     host.log
         .write(EventCode::RequestAnswered, LogPriority::Ordinary, fields);
 }
+
+fn log_handoff<W: WireProtocol>(
+    host: &EntryHost<W>,
+    open: &OpenRequest,
+    target: &HandoffTarget,
+    millis: u64,
+) {
+    let fields = json!({
+        "id": open.forward.id,
+        "route": open.route.name,
+        "peer": target.name,
+        "after_ms": millis,
+    });
+    host.log
+        .write(EventCode::RequestHandedOver, LogPriority::Ordinary, fields);
+}
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -3,6 +3,7 @@
 
 use super::choice::NoServer;
 use super::customer::KeyDigest;
+use super::handoff::message::HandoffFailure;
 use super::limits::message::LimitTrace;
 use super::metrics_page::RequestCompletion;
 use super::quarantine;
@@ -186,6 +187,19 @@
         )
     }
 
+    /// The host that the request was handed over to did not serve it.
+    pub(super) fn of_other_host(failure: &HandoffFailure) -> Self {
+        let status = http::StatusCode::from_u16(failure.status);
+        Self {
+            retry_after_ms: failure.retry_after_ms,
+            ..Self::with_status(
+                status.unwrap_or(http::StatusCode::BAD_GATEWAY),
+                failure.completion,
+                "the host that it was handed over to did not serve it",
+            )
+        }
+    }
+
     /// Every server that got the request reported that it did not run it.
     pub(super) const fn not_run(retry_after_ms: u64) -> Self {
         Self::refused(
--- a/src/event.rs
+++ b/src/event.rs
@@ -105,6 +105,8 @@
     ServersUnreachable = 5027, Warn, "No backend server of a service accepts connections of this host; they are tried again at short intervals.";
     ServersReached = 5028, Info, "A backend server of a service accepts connections of this host again.";
     ServerEndDoubted = 5029, Info, "A backend server broke connections and refused new ones while this host reached no other either; its requests are not blamed.";
+    RequestHandedOver = 5030, Info, "A request was answered by way of another host, since this one reaches no server of its service.";
+    HandoffFailed = 5031, Warn, "A request was handed over to another host, which did not answer it.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
