Tests of handoffs; a host is avoided only for the service that it could not serve

Arbitrary bytes don't break the reader.

A host that refused a request because it reaches no server of one service was not asked for others either for half a second; it is now avoided for that service only.

--- a/src/entry/attempts/handoff.rs
+++ b/src/entry/attempts/handoff.rs
@@ -62,12 +62,12 @@
             }
             HandoffOutcome::NotServed(reason) => {
                 self.log_handoff_failed(target, reason);
-                self.host.handoffs.avoid(target.address, self.host.now());
+                self.avoid(target);
             }
             HandoffOutcome::Failed(failure) => return Err(failure),
             HandoffOutcome::Lost(cause) => {
                 self.log_handoff_failed(target, cause.as_str());
-                self.host.handoffs.avoid(target.address, self.host.now());
+                self.avoid(target);
                 let failure = RequestFailure::lost(cause.as_str());
                 if !self.open.forward.is_retryable {
                     return Err(failure);
@@ -85,6 +85,12 @@
         Ok(None)
     }
 
+    fn avoid(&self, target: &HandoffTarget) {
+        let now = self.host.now();
+        let role = &self.host.handoffs;
+        role.avoid(target.address, &self.open.service, now);
+    }
+
     /// The outcome of earlier attempts is more informative than the lack of a host.
     fn unserved(&self) -> RequestFailure {
         let failure = self.last;
--- a/src/entry/handoff/role.rs
+++ b/src/entry/handoff/role.rs
@@ -26,8 +26,8 @@
     connections: cell::RefCell<PeerConnections>,
     /// Requests in flight at other hosts, by peer address.
     open: cell::RefCell<collections::HashMap<net::SocketAddr, u32>>,
-    /// Hosts that are not asked for a while, and until when.
-    avoided: cell::RefCell<collections::HashMap<net::SocketAddr, Moment>>,
+    /// Hosts that are not asked for a service for a while, and until when.
+    avoided: cell::RefCell<collections::HashMap<(net::SocketAddr, String), Moment>>,
     taken_over: cell::Cell<u32>,
 }
 
@@ -59,15 +59,17 @@
         self.open.borrow().get(&address).copied().unwrap_or(0)
     }
 
-    /// Does not ask a host for a while.
-    pub(in crate::entry) fn avoid(&self, address: net::SocketAddr, now: Moment) {
-        let until = now.plus(AVOID_MS);
-        self.avoided.borrow_mut().insert(address, until);
+    /// Does not ask a host for a service for a while.
+    pub(in crate::entry) fn avoid(&self, address: net::SocketAddr, service: &str, now: Moment) {
+        let key = (address, service.to_owned());
+        let mut avoided = self.avoided.borrow_mut();
+        avoided.insert(key, now.plus(AVOID_MS));
     }
 
-    fn is_avoided(&self, address: net::SocketAddr, now: Moment) -> bool {
+    fn is_avoided(&self, address: net::SocketAddr, service: &str, now: Moment) -> bool {
         let avoided = self.avoided.borrow();
-        avoided.get(&address).is_some_and(|until| now < *until)
+        let mut entries = avoided.iter();
+        entries.any(|((avoided, of), until)| *avoided == address && of == service && now < *until)
     }
 
     /// Counts a request of another host until the value is dropped; `None` if there are too many.
@@ -102,7 +104,7 @@
         let role = &self.handoffs;
         let targets = self.peers.borrow().handoff_targets(&query, now);
         let usable = targets.into_iter().filter(|target| {
-            !role.is_avoided(target.address, now)
+            !role.is_avoided(target.address, &open.service, now)
                 && role.open_at(target.address) < MAX_OPEN_PER_TARGET
         });
         usable.min_by_key(|target| {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -228,7 +228,8 @@
                 host.handoffs
                     .put_connection(address, self.sender, host.now());
             }
-            StreamSource::Host(address) => host.handoffs.avoid(address, host.now()),
+            // The next request to that host finds out whether it is still there.
+            StreamSource::Host(_broken) => {}
             StreamSource::Server(stream) => {
                 on_server_stream_end(&host, *stream, self.sender, complete);
             }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use ledgespool::entry::budget::{RetryShare, RetryWindow};
+use ledgespool::entry::handoff::message::HandoffRequest;
 use ledgespool::entry::peer_message::{self, PeerHeartbeat, PeerMessage, PeerStatus, WatchState};
 use ledgespool::entry::peers::{
     HEARTBEAT_FANOUT, HostRecord, INDIRECT_PEER_TIMEOUT_MS, PEER_TIMEOUT_MS, PeerChange, PeerTable,
@@ -468,6 +469,7 @@
             *first = 1;
         }
         let _read = peer_message::from_bytes::<PeerMessage>(&bytes);
+        let _read = HandoffRequest::from_bytes(&bytes.into());
     }
 }
 
