--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -23,8 +23,9 @@
 /// Number of servers that a check connects to. All of four that answered recently, in different
 /// halls, rarely fail while others of the service still run.
 const SERVERS_PER_CHECK: usize = 4;
-/// Number of servers that a host connects to at a time while a service is unreachable.
-const SERVERS_PER_RETRY: usize = 2;
+/// Number of servers that a host connects to at a time while a service is unreachable. They are
+/// random, since the only ones left may be others than those that answered last.
+const SERVERS_PER_RETRY: usize = 4;
 /// Pause between two such attempts, in milliseconds, sampled so that hosts do not retry at the same
 /// time.
 const RETRY_PAUSE_MS: std::ops::Range<u64> = 200..400;
@@ -55,6 +56,15 @@
     cause: CheckCause,
 }
 
+/// Which servers of a service are connected to first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TargetOrder {
+    /// Those that answered last, and ejected ones at the end.
+    LastAnswer,
+    /// Any.
+    Random,
+}
+
 /// Why a service is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CheckCause {
@@ -103,15 +113,17 @@
 async fn check_service<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, check: PendingCheck) {
     let PendingCheck { service, cause } = check;
     let table = &host.reachability.table;
-    let has_servers = !host.check_targets(&service, 1).is_empty();
+    let order = TargetOrder::LastAnswer;
+    let has_servers = !host.check_targets(&service, 1, order).is_empty();
     if !has_servers || !table.borrow_mut().begin_check(&service, host.now()) {
         return;
     }
     // Silence is often harmless, and a single connection is cheaper.
     let is_reached =
-        cause == CheckCause::Silence && host.connect_to_any(&service, 1).await.is_some();
+        cause == CheckCause::Silence && host.connect_to_any(&service, 1, order).await.is_some();
     if !is_reached {
-        host.connect_to_any(&service, SERVERS_PER_CHECK).await;
+        host.connect_to_any(&service, SERVERS_PER_CHECK, order)
+            .await;
     }
     let is_lost = table.borrow_mut().end_check(&service);
     if is_lost {
@@ -131,7 +143,8 @@
         let (host, service) = (rc::Rc::clone(&host), rc::Rc::clone(&service));
         // Not awaited: an attempt that began before the failure ended may take long to fail.
         tokio::task::spawn_local(async move {
-            host.connect_to_any(&service, SERVERS_PER_RETRY).await;
+            host.connect_to_any(&service, SERVERS_PER_RETRY, TargetOrder::Random)
+                .await;
         });
     }
 }
@@ -213,7 +226,7 @@
     /// Whether another server of the service accepts a connection now.
     pub(super) async fn reaches_another(&self, server: &FleetServer) -> bool {
         // An ejected server is the last choice.
-        self.connect_to_any(&server.service, SERVERS_PER_CHECK)
+        self.connect_to_any(&server.service, SERVERS_PER_CHECK, TargetOrder::LastAnswer)
             .await
             .is_some()
     }
@@ -296,8 +309,8 @@
 
     /// Connects to `count` servers of a service at once, and pools the first connection that one of
     /// them accepts.
-    async fn connect_to_any(&self, service: &str, count: usize) -> Option<()> {
-        let targets = self.check_targets(service, count);
+    async fn connect_to_any(&self, service: &str, count: usize, order: TargetOrder) -> Option<()> {
+        let targets = self.check_targets(service, count, order);
         let mut opening: FuturesUnordered<_> = targets
             .iter()
             .map(|server| async move { (server, self.open_connection(server).await) })
@@ -340,9 +353,13 @@
         Ok(sender)
     }
 
-    /// Servers of a service to connect to: those that answered last, in different halls as far as
-    /// possible, and ejected ones last.
-    fn check_targets(&self, service: &str, count: usize) -> Vec<rc::Rc<FleetServer>> {
+    /// Servers of a service to connect to, in different halls as far as possible.
+    fn check_targets(
+        &self,
+        service: &str,
+        count: usize,
+        order: TargetOrder,
+    ) -> Vec<rc::Rc<FleetServer>> {
         let now = self.now();
         let fleet = self.fleet.borrow();
         let servers = fleet.of_service(service).iter();
@@ -351,9 +368,12 @@
             .cloned()
             .collect();
         servers.shuffle(&mut *self.random.borrow_mut());
-        servers.sort_by_cached_key(|server| {
-            (server.is_ejected(now), cmp::Reverse(server.last_success()))
-        });
+        if order == TargetOrder::LastAnswer {
+            servers.sort_by_cached_key(|server| {
+                let last_success = cmp::Reverse(server.last_success());
+                (server.is_ejected(now), last_success)
+            });
+        }
         let mut halls = collections::BTreeSet::new();
         let (mut targets, others): (Vec<_>, Vec<_>) = servers
             .into_iter()
