A lost keepalive probe does not end a request of usual length

What callers saw: on a link that loses packets, a request that takes more than two seconds got 502 although its server ran and answered it; one lost packet sufficed, and for a host that looks like the start of a partition.

Cause: with TCP_USER_TIMEOUT set the kernel doesn't count unanswered probes (MAX_LOST_PROBES decided nothing): a connection breaks at the first probe that is due after the user timeout if the one before is unanswered. First probe after 1 s, interval 1 s, user timeout 1.5 s: the connection breaks 2 s after the last byte. Kernel, measured: one probe lost breaks it after 2.05 s; with a user timeout of 2.5 s it survives.

Change: on connections to servers and for handoffs the first probe is sent after 2 s, so a silent one breaks after 3 s. A longer user timeout would tolerate a lost probe too, but data that isn't acknowledged would then break after 2.5 s instead of 1.5 s, where a repeatable request can still be repeated.

A request that runs for more than three seconds can still be lost with one probe.

--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -18,6 +18,7 @@
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::wire::WireProtocol;
 use crate::http_client::{self, ClientSender};
+use crate::tcp_keepalive::ProbeStart;
 
 /// Timeout for opening a connection to another host.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
@@ -82,7 +83,9 @@
             Some(outcome) => return outcome,
         }
     }
-    let Ok(sender) = http_client::connect(target.address, CONNECT_TIMEOUT).await else {
+    let probes = ProbeStart::Late;
+    let opened = http_client::connect_with(target.address, CONNECT_TIMEOUT, probes).await;
+    let Ok(sender) = opened else {
         return HandoffOutcome::NotServed("the host was not reached");
     };
     let outcome = write(host, target, sender, message).await;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -8,7 +8,7 @@
 use hyper_util::rt::TokioIo;
 
 use super::fleet_server::FleetServer;
-use crate::tcp_keepalive;
+use crate::tcp_keepalive::{self, ProbeStart};
 use crate::timer::Moment;
 
 /// An idle connection is dropped this long before the server's keep-alive time ends, in
@@ -163,6 +163,6 @@
     }
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
-    tcp_keepalive::enable(&stream)?;
+    tcp_keepalive::enable(&stream, ProbeStart::Late)?;
     Ok(stream)
 }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -7,7 +7,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
-use crate::tcp_keepalive;
+use crate::tcp_keepalive::{self, ProbeStart};
 
 /// The largest response head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -26,20 +26,30 @@
 
 /// Opens a connection, whose driver runs as a task until the connection closes.
 ///
-/// TCP keepalive is on, because a response may take long, as that of a watch does. Without
-/// keepalive a watch connection whose peer fell silent was detected after 6.1 s, with it after
-/// 3.0 s (all connections of nine simulated hosts silenced).
+/// TCP keepalive is on, because a response may take long, as that of a watch does.
 ///
 /// # Errors
 /// `NotSent` when the connection cannot be opened in time.
 pub async fn connect(
     address: net::SocketAddr,
     timeout: time::Duration,
+) -> Result<ClientSender, ExchangeFault> {
+    connect_with(address, timeout, ProbeStart::Early).await
+}
+
+/// Like [`connect`], with this start of the probes.
+///
+/// # Errors
+/// `NotSent` when the connection cannot be opened in time.
+pub async fn connect_with(
+    address: net::SocketAddr,
+    timeout: time::Duration,
+    probes: ProbeStart,
 ) -> Result<ClientSender, ExchangeFault> {
     let opening = async {
         let stream = tokio::net::TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        tcp_keepalive::enable(&stream).ok()?;
+        tcp_keepalive::enable(&stream, probes).ok()?;
         let builder = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .to_owned();
--- a/src/worker/attempt.rs
+++ b/src/worker/attempt.rs
@@ -21,6 +21,7 @@
 use crate::http_client::{self, ExchangeFault};
 use crate::result_code::ResultCode;
 use crate::steering::{AttemptResult, RequestAdmission, UNAVAILABLE_RETRY_AFTER_MS};
+use crate::tcp_keepalive::ProbeStart;
 
 /// Timeout for opening a connection to a backend server.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -123,7 +124,9 @@
     {
         return Ok(connection);
     }
-    match http_client::connect(address, timeout.min(CONNECT_TIMEOUT)).await {
+    let probes = ProbeStart::Late;
+    let opened = http_client::connect_with(address, timeout.min(CONNECT_TIMEOUT), probes);
+    match opened.await {
         Ok(sender) => Ok(PooledConnection {
             sender,
             used: false,
