Repeatable requests stop waiting once their service is unreachable

What callers saw: requests that were at servers when a silent partition began got 504 or 502 after three seconds, though another host could have served those that may run again.

Cause: only the kernel ended the wait, three seconds after the last byte, as long as most routes allow.

This is no failure of the server. Requests that may run only once wait on.

Evidence: `a_read_that_waits_when_a_partition_begins_is_handed_over` gets 504 without the change and 200 with it.

--- a/src/entry/attempts/outcome.rs
+++ b/src/entry/attempts/outcome.rs
@@ -132,7 +132,9 @@
         cause: LossCause,
     ) -> Result<(), RequestFailure> {
         self.log_failed(server, cause.as_str());
-        self.host.on_server_failure(server);
+        if cause != LossCause::Unreachable {
+            self.host.on_server_failure(server);
+        }
         if cause.has_broken() {
             self.host.on_connection_failed(server);
             quarantine_role::on_broken(self.host, server, self.open.fingerprint());
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -82,6 +82,8 @@
 pub enum LossCause {
     /// The connection broke before the answer's head arrived.
     Broken,
+    /// The service became unreachable before an answer.
+    Unreachable,
     /// The connection broke within the answer.
     Truncated,
     /// The answer carries the id of another request.
@@ -98,6 +100,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Broken => "the connection broke before an answer",
+            Self::Unreachable => "the service became unreachable before an answer",
             Self::Truncated => "the answer broke off",
             Self::WrongRequest => "the answer belongs to another request",
             Self::Unsigned => "a success without the server's signature",
@@ -250,7 +253,14 @@
         .table()
         .period_of(server.incarnation_hash);
     let wait = host.begin_wait(server);
-    let (head, body) = match permit.write(&mut sender, message).await {
+    let written = tokio::select! {
+        written = permit.write(&mut sender, message) => written,
+        // Another host may still serve it in time.
+        () = host.until_wait_is_hopeless(&server.service), if request.is_retryable => {
+            return AttemptOutcome::Lost(LossCause::Unreachable);
+        }
+    };
+    let (head, body) = match written {
         Ok(answer) => {
             wait.on_answered(host.now());
             if is_new {
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -47,6 +47,8 @@
     /// Services that must be checked.
     pending_checks: cell::RefCell<Vec<PendingCheck>>,
     has_pending_check: Notify,
+    /// Notified at each tick while a service is unreachable.
+    unreachable_tick: Notify,
 }
 
 /// A service that must be checked.
@@ -197,6 +199,20 @@
         for service in silent {
             self.reachability.queue_check(&service, CheckCause::Silence);
         }
+        if self.reachability.table.borrow().unreachable_count() > 0 {
+            self.reachability.unreachable_tick.notify_waiters();
+        }
+    }
+
+    /// Waits until a request that was sent to a server of `service` will probably get no answer.
+    pub(super) async fn until_wait_is_hopeless(&self, service: &str) {
+        loop {
+            self.reachability.unreachable_tick.notified().await;
+            let table = self.reachability.table.borrow();
+            if table.are_waits_hopeless(service, self.now()) {
+                return;
+            }
+        }
     }
 
     /// Records a request to a server that waits for its answer until the value is dropped.
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -164,6 +164,16 @@
         answer.is_some_and(|at| now.since(at) <= OPEN_CONNECTION_MS)
     }
 
+    /// Whether requests that wait for an answer of an unreachable service will probably get none.
+    #[must_use]
+    pub fn are_waits_hopeless(&self, service: &str, now: Moment) -> bool {
+        let entry = self.services.get(service);
+        entry.is_some_and(|entry| {
+            let is_silent = now.since(entry.silent_since) >= MAX_SILENCE_MS;
+            entry.unreachable_since.is_some() && is_silent
+        })
+    }
+
     /// Number of services whose servers this host does not reach.
     #[must_use]
     pub fn unreachable_count(&self) -> usize {
