Checks include servers that leave or want no requests now

If all of these are gone and leaving servers still serve as the last choice, a host would take the service for unreachable and refuse what they could serve. They are now connected to as well; a server whose address another one has is not.

--- a/src/entry/fleet_server.rs
+++ b/src/entry/fleet_server.rs
@@ -117,6 +117,14 @@
         view.is_in_service() && view.notice().leaving_since().is_none()
     }
 
+    /// Whether its process may still listen on its address. Includes servers that leave or want no
+    /// requests now.
+    #[must_use]
+    pub fn may_listen(&self) -> bool {
+        let view = self.view.borrow();
+        !view.removed && !view.address_reused
+    }
+
     /// Whether it is draining according to the store.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -369,7 +369,9 @@
         Ok(sender)
     }
 
-    /// Servers of a service to connect to, in different halls as far as possible.
+    /// Servers of a service to connect to, in different halls as far as possible. Those that leave
+    /// or want no requests now are included: they show the state of the link as well as others, and
+    /// may be the only ones left.
     fn check_targets(
         &self,
         service: &str,
@@ -380,7 +382,7 @@
         let fleet = self.fleet.borrow();
         let servers = fleet.of_service(service).iter();
         let mut servers: Vec<_> = servers
-            .filter(|server| server.takes_work())
+            .filter(|server| server.may_listen())
             .cloned()
             .collect();
         servers.shuffle(&mut *self.random.borrow_mut());
