--- a/src/entry/attempts/mod.rs
+++ b/src/entry/attempts/mod.rs
@@ -58,7 +58,7 @@
     }
     let admission = host.admit_suspect(open);
     if admission == SuspectAdmission::Blocked {
-        // Refused before it counts for the customer's limit.
+        // Before the request counts for the customer's limit.
         return Err(RequestFailure::QUARANTINED);
     }
     if let Some(customer) = &open.customer {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -256,7 +256,7 @@
     let written = tokio::select! {
         written = permit.write(&mut sender, message) => written,
         // Another host may still serve it in time.
-        () = host.until_wait_is_hopeless(&server.service), if request.is_retryable => {
+        () = host.until_answer_is_unlikely(&server.service), if request.is_retryable => {
             return AttemptOutcome::Lost(LossCause::Unreachable);
         }
     };
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -205,11 +205,11 @@
     }
 
     /// Waits until a request that was sent to a server of `service` will probably get no answer.
-    pub(super) async fn until_wait_is_hopeless(&self, service: &str) {
+    pub(super) async fn until_answer_is_unlikely(&self, service: &str) {
         loop {
             self.reachability.unreachable_tick.notified().await;
             let table = self.reachability.table.borrow();
-            if table.are_waits_hopeless(service, self.now()) {
+            if table.is_answer_unlikely(service, self.now()) {
                 return;
             }
         }
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -164,9 +164,9 @@
         answer.is_some_and(|at| now.since(at) <= OPEN_CONNECTION_MS)
     }
 
-    /// Whether requests that wait for an answer of an unreachable service will probably get none.
+    /// Whether a request that was sent to an unreachable service will probably get no answer.
     #[must_use]
-    pub fn are_waits_hopeless(&self, service: &str, now: Moment) -> bool {
+    pub fn is_answer_unlikely(&self, service: &str, now: Moment) -> bool {
         let entry = self.services.get(service);
         entry.is_some_and(|entry| {
             let is_silent = now.since(entry.silent_since) >= MAX_SILENCE_MS;
