Handoffs write over the HTTP client; only the send gate writes to servers

The boundary test found a second place in src/entry that writes requests. The client's function that tells not sent from lost has a part of its own now, which handoffs use; the test is unchanged.

--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -17,7 +17,7 @@
 use crate::entry::peers::HandoffTarget;
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::wire::WireProtocol;
-use crate::http_client::{self, ClientSender};
+use crate::http_client::{self, ClientSender, ExchangeFault};
 use crate::tcp_keepalive::ProbeStart;
 
 /// Timeout for opening a connection to another host.
@@ -140,12 +140,10 @@
     *request.uri_mut() = http::Uri::from_static(HANDOFF_PATH);
     let peer = http::HeaderValue::from_static("peer");
     request.headers_mut().insert(http::header::HOST, peer);
-    let (head, body) = match sender.try_send_request(request).await {
+    let (head, body) = match http_client::read_head(&mut sender, request).await {
         Ok(answer) => answer.into_parts(),
-        Err(mut fault) => {
-            let was_written = fault.take_message().is_none();
-            return was_written.then_some(HandoffOutcome::Lost(LossCause::Broken));
-        }
+        Err(ExchangeFault::NotSent) => return None,
+        Err(ExchangeFault::Lost) => return Some(HandoffOutcome::Lost(LossCause::Broken)),
     };
     let kind = head.headers.get(HANDOFF_HEADER);
     Some(match kind.map(http::HeaderValue::as_bytes) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,9 +5,9 @@
 //! `open_request` reads it and finds its [`configuration`] route, and `attempts` sends it to the
 //! backend servers that [`choice`] selects from the [`fleet`], over the connections of [`pool`] and
 //! within the limits of [`budget`]. While this host reaches no server of a service
-//! ([`reachability_role`]), `attempts` hands its requests to other hosts ([`handoff`]). `request_failure` defines the other responses. [`follow`] keeps
-//! configuration and fleet up to date from an [`store::ObjectStore`], and [`peers`] does so from
-//! other entry hosts. The traits in [`wire`] define the wire format; the `ledgespool-platform`
+//! ([`reachability_role`]), `attempts` hands its requests to other hosts ([`handoff`]).
+//! `request_failure` defines the other responses. [`follow`] keeps configuration and fleet up to
+//! date from an [`store::ObjectStore`], and [`peers`] does so from other entry hosts. The traits in [`wire`] define the wire format; the `ledgespool-platform`
 //! crate implements them, and nothing here knows a platform's names.
 //!
 //! All modules share the state in [`host`]; [`lifecycle`] starts, runs and stops it. Methods that
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
@@ -93,6 +94,24 @@
     answered.unwrap_or(Err(ExchangeFault::Lost))
 }
 
+/// Sends one request on an open connection and reads the head of the response.
+///
+/// # Errors
+/// [`ExchangeFault`], which tells whether the request may have reached the server.
+pub async fn read_head(
+    sender: &mut ClientSender,
+    request: http::Request<Full<Bytes>>,
+) -> Result<http::Response<Incoming>, ExchangeFault> {
+    let answer = sender.try_send_request(request).await;
+    answer.map_err(|mut fault| {
+        if fault.take_message().is_some() {
+            ExchangeFault::NotSent
+        } else {
+            ExchangeFault::Lost
+        }
+    })
+}
+
 /// Sends one request on an open connection and reads the whole response.
 ///
 /// # Errors
@@ -102,17 +121,7 @@
     request: http::Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<SmallAnswer, ExchangeFault> {
-    let answer = sender
-        .try_send_request(request)
-        .await
-        .map_err(|mut fault| {
-            if fault.take_message().is_some() {
-                ExchangeFault::NotSent
-            } else {
-                ExchangeFault::Lost
-            }
-        })?;
-    let (head, body) = answer.into_parts();
+    let (head, body) = read_head(sender, request).await?.into_parts();
     let body = Limited::new(body, max_bytes)
         .collect()
         .await
