Waits end early only if another host can serve

a_lost_keep_alive_probe_does_not_end_a_request failed since repeatable requests stop waiting: a single host gave up after 1.5 s of a short silence with nobody to hand over to.

--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -209,7 +209,10 @@
         loop {
             self.reachability.unreachable_tick.notified().await;
             let table = self.reachability.table.borrow();
-            if table.is_answer_unlikely(service, self.now()) {
+            let now = self.now();
+            // Without another host, the answer may still arrive after a short failure.
+            let can_hand_over = self.peers.borrow().any_reaches_servers(now);
+            if can_hand_over && table.is_answer_unlikely(service, now) {
                 return;
             }
         }
