A partition from one hall is not reported as server crashes

Requests to servers of one hall whose network refuses connections were blamed, on all hosts, for crashes of these servers.

Cause: a server of any hall that accepted a connection counted as proof that this host's link was sound.

Change: the proof is a server of the same hall, if the hall has another one.

--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -34,7 +34,7 @@
 /// How long a crash stays in doubt while this host reaches no server, in milliseconds.
 const MAX_DOUBT_MS: u64 = 20_000;
 /// How often a host checks whether it reaches a server again.
-const DOUBT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
+const DOUBT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
 /// The source, in events, of suspects that were read from the store.
 const STORE_SOURCE: &str = "store";
@@ -172,14 +172,14 @@
 }
 
 /// Decides whether a server that refuses connections has crashed. If this host reaches no other
-/// server either, its own link may have failed. It then waits until it reaches one, and tries the
-/// server again.
+/// server there either, its own link may have failed. It then waits until it reaches one, and tries
+/// the server again. One that is no longer listed may have left meanwhile.
 async fn has_crashed<W: WireProtocol>(host: &EntryHost<W>, server: &FleetServer) -> bool {
-    if host.reaches_another(server).await {
+    if host.reaches_neighbour(server).await {
         return true;
     }
     let refused = host.now();
-    while !host.is_reach_confirmed_since(&server.service, refused) {
+    while !host.reaches_neighbour(server).await {
         if host.now().since(refused) > MAX_DOUBT_MS {
             return false;
         }
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -242,12 +242,18 @@
         table.is_confirmed_since(service, at)
     }
 
-    /// Whether another server of the service accepts a connection now.
-    pub(super) async fn reaches_another(&self, server: &FleetServer) -> bool {
-        // An ejected server is the last choice.
-        self.connect_to_any(&server.service, SERVERS_PER_CHECK, TargetOrder::LastAnswer)
-            .await
-            .is_some()
+    /// Whether another server accepts a connection now: one of the same hall if there is any, since
+    /// the link to a hall may fail alone.
+    pub(super) async fn reaches_neighbour(&self, server: &FleetServer) -> bool {
+        let others = self.check_targets(&server.service, usize::MAX, TargetOrder::LastAnswer);
+        let others = others.into_iter().filter(|other| other.id != server.id);
+        let (mut targets, elsewhere): (Vec<_>, Vec<_>) =
+            others.partition(|other| other.hall == server.hall);
+        if targets.is_empty() {
+            targets = elsewhere;
+        }
+        targets.truncate(SERVERS_PER_CHECK);
+        self.connect_to_first(&targets).await.is_some()
     }
 
     /// Whether requests for `service` may be sent to its servers by this host. While none accepts
@@ -326,10 +332,14 @@
         }
     }
 
-    /// Connects to `count` servers of a service at once, and pools the first connection that one of
-    /// them accepts.
+    /// Connects to `count` servers of a service at once; `None` if none accepts.
     async fn connect_to_any(&self, service: &str, count: usize, order: TargetOrder) -> Option<()> {
         let targets = self.check_targets(service, count, order);
+        self.connect_to_first(&targets).await
+    }
+
+    /// Connects to all of `targets` at once, and pools the first connection that is accepted.
+    async fn connect_to_first(&self, targets: &[rc::Rc<FleetServer>]) -> Option<()> {
         let mut opening: FuturesUnordered<_> = targets
             .iter()
             .map(|server| async move { (server, self.open_connection(server).await) })
