Logs and metrics of work after a caller's departure

Change: a host waits for the kernel's event of a closed connection (SharedStream) and records per request in which phase its caller left, how long it was worked on after that, and how often it was sent. No logic changes; the new event EV5032 marks requests that went on to their end.

--- a/src/entry/attempts/mod.rs
+++ b/src/entry/attempts/mod.rs
@@ -13,6 +13,7 @@
 use self::failed_answer::FirstFailure;
 use super::attempt_record::AttemptRecord;
 use super::choice::{self, ChoiceQuery, ChosenServer, NoServer, ServerChoice};
+use super::departure::RequestPhase;
 use super::exchange::{self, AttemptOptions, AttemptOutcome, ServerAnswer};
 use super::fleet_server::FleetServer;
 use super::handoff::HandoffProgress;
@@ -61,6 +62,7 @@
     if let Some(progress) = open.handoff {
         return try_servers(host, open, admit_handoff(host, open, progress)).await;
     }
+    open.progress.enter(RequestPhase::Waiting);
     let admission = host.admit_suspect(open);
     if admission == SuspectAdmission::Blocked {
         // Before the request counts for the customer's limit.
@@ -174,6 +176,7 @@
         if !is_first_probe_attempt && self.host.is_blocked(self.open) {
             return Err(self.last.unwrap_or(RequestFailure::QUARANTINED));
         }
+        self.open.progress.enter(RequestPhase::Waiting);
         let chosen = self.choose_with_token().await;
         // The outcome of an earlier attempt is more informative than the lack of another server.
         let (chosen, token) = chosen.map_err(|failure| self.last.unwrap_or(failure))?;
@@ -334,6 +337,7 @@
         let terms = AttemptOptions {
             deadline: self.open.deadline,
             right,
+            progress: &self.open.progress,
         };
         let outcome = exchange::attempt(self.host, &server, &self.open.forward, terms).await;
         self.host.on_slot_freed(&server);
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use super::answer_outcome::outcome_from_head;
+use super::departure::RequestProgress;
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::pool::{self, ServerSender};
@@ -144,11 +145,13 @@
 
 /// The deadline and the send token of one attempt.
 #[derive(Debug, Clone, Copy)]
-pub struct AttemptOptions {
+pub struct AttemptOptions<'a> {
     /// When the request must have been answered.
     pub deadline: Moment,
     /// The token that allows sending it to a server with a limit.
     pub right: SendToken,
+    /// Is told when the request is written.
+    pub progress: &'a RequestProgress,
 }
 
 /// Sends a request to a server and waits for the answer until the deadline. Dropping the future
@@ -157,7 +160,7 @@
     host: &EntryHost<W>,
     server: &rc::Rc<FleetServer>,
     request: &ForwardRequest,
-    options: AttemptOptions,
+    options: AttemptOptions<'_>,
 ) -> AttemptOutcome {
     let _slot = SlotGuard::at(server, host.clock());
     let must_be_fresh = !request.is_retryable;
@@ -234,7 +237,7 @@
     server: &FleetServer,
     connection: ServerConnection,
     request: &ForwardRequest,
-    options: AttemptOptions,
+    options: AttemptOptions<'_>,
 ) -> AttemptOutcome {
     let left = time::Duration::from_millis(options.deadline.since(host.now()));
     let sending = send(host, server, connection, request, options);
@@ -247,7 +250,7 @@
     server: &FleetServer,
     connection: ServerConnection,
     request: &ForwardRequest,
-    options: AttemptOptions,
+    options: AttemptOptions<'_>,
 ) -> AttemptOutcome {
     let ServerConnection { mut sender, is_new } = connection;
     let id = request.id.as_deref();
@@ -261,6 +264,7 @@
         .server_limits
         .table()
         .period_of(server.incarnation_hash);
+    options.progress.on_sent(host.now());
     let wait = host.begin_wait(server);
     let written = tokio::select! {
         written = permit.write(&mut sender, message) => written,
--- a/src/entry/handoff/receiver.rs
+++ b/src/entry/handoff/receiver.rs
@@ -9,6 +9,7 @@
 use super::message::{ANSWER, FAILURE, HANDOFF_HEADER, HandoffFailure, HandoffRequest};
 use super::role::HandoffRole;
 use crate::entry::answer::AnswerBody;
+use crate::entry::departure::CallerDeparture;
 use crate::entry::host::EntryHost;
 use crate::entry::metrics_page::RequestCompletion;
 use crate::entry::peer_message;
@@ -21,10 +22,12 @@
 /// Time in which the whole message must arrive.
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
-/// Serves a request that another host hands over.
+/// Serves a request that another host hands over; `departure` tells whether that host has closed the
+/// connection.
 pub(in crate::entry) async fn receive<W: WireProtocol>(
     host: &rc::Rc<EntryHost<W>>,
     request: http::Request<Incoming>,
+    departure: rc::Rc<CallerDeparture>,
 ) -> CallerResponse<W> {
     let Some(_taken_over) = HandoffRole::take_over(host) else {
         return failure_response(host, &too_many());
@@ -33,7 +36,7 @@
         return failure_response(host, &not_understood());
     };
     host.metrics.borrow_mut().taken_over += 1;
-    match request::serve_handoff(rc::Rc::clone(host), request).await {
+    match request::serve_handoff(rc::Rc::clone(host), request, departure).await {
         Ok(mut response) => {
             let answer = http::HeaderValue::from_static(ANSWER);
             response.headers_mut().insert(HANDOFF_HEADER, answer);
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -77,6 +77,7 @@
     };
     let idle = host.handoffs.take_connection(target.address);
     if let Some(sender) = idle {
+        open.progress.on_sent(host.now());
         match write(host, target, sender, message.clone()).await {
             // The other host closed the idle connection; nothing was written.
             None => {}
@@ -88,6 +89,7 @@
     let Ok(sender) = opened else {
         return HandoffOutcome::NotServed("the host was not reached");
     };
+    open.progress.on_sent(host.now());
     let outcome = write(host, target, sender, message).await;
     outcome.unwrap_or(HandoffOutcome::NotServed("the host closed the connection"))
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -106,6 +106,8 @@
     pub(super) reachability: ReachabilityRole,
     pub(super) handoffs: HandoffRole,
     pub(super) urgency: UrgencyRole,
+    /// Streamed answers in flight.
+    pub(super) open_answers: cell::Cell<u32>,
     /// The store's epoch, as observed by this host or reported by another.
     pub(super) store_epoch: cell::Cell<u64>,
 }
@@ -159,6 +161,7 @@
             reachability: ReachabilityRole::default(),
             handoffs: HandoffRole::default(),
             urgency: UrgencyRole::default(),
+            open_answers: cell::Cell::default(),
             store_epoch: cell::Cell::new(0),
         }
     }
@@ -318,6 +321,7 @@
             servers_in_backoff: self.count_servers(|server| server.notice().is_in_backoff(now)),
             idle_connections: self.pool.borrow().idle_count(),
             open_requests: self.open_requests(),
+            open_answers: self.open_answers.get(),
             waiting: self.waiting_count(),
             log_suppressed: loss.left_out,
             log_dropped: loss.dropped,
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -1,7 +1,7 @@
 //! The listening sockets of a host: caller requests, lookups, readiness checks, and requests of
 //! other hosts including metrics.
 
-use std::{cell, convert, net, rc, time};
+use std::{cell, convert, future, net, rc, time};
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -14,15 +14,18 @@
 use tokio::net::TcpListener;
 
 use super::configuration::ServiceConfiguration;
+use super::departure::CallerDeparture;
 use super::host::EntryHost;
 use super::peer_message::PeerFormatError;
 use super::peers::ServingHost;
+use super::request::RequestArrival;
 use super::settings::EntrySettings;
 use super::wire::{HostCall, LookupRequest, WireProtocol};
 use super::{catch_up, handoff, join, peer_message, request, retention_review};
 use crate::error::{self, Error};
 use crate::listener;
 use crate::result_code::ResultCode;
+use crate::shared_stream::SharedStream;
 use crate::urgency::pipeline::RequestPipeline;
 
 /// Delay after a failed accept, for example when file descriptors run out.
@@ -120,10 +123,16 @@
 }
 
 async fn serve_caller<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
+    let stream = SharedStream::from(stream);
+    let departure = rc::Rc::new(CallerDeparture::default());
     let pipeline = cell::RefCell::new(RequestPipeline::default());
     let service = service_fn(|request: http::Request<Incoming>| {
         let sent_from = pipeline.borrow_mut().on_request(host.now());
-        let answer = request::serve(rc::Rc::clone(&host), request, sent_from);
+        let arrival = RequestArrival {
+            sent_from,
+            departure: rc::Rc::clone(&departure),
+        };
+        let answer = request::serve(rc::Rc::clone(&host), request, arrival);
         let (host, pipeline) = (&host, &pipeline);
         async move {
             let answer = answer.await;
@@ -131,10 +140,24 @@
             Ok::<_, convert::Infallible>(answer)
         }
     });
-    // A broken connection needs no handling here; the caller sees it.
-    let _outcome = builder(caller_head_timeout(&host))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let connection =
+        builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(stream.clone()), service);
+    tokio::select! {
+        // A broken connection needs no handling here; the caller sees it.
+        _outcome = connection => {}
+        () = record_departure(&host, &stream, &departure) => {}
+    }
+}
+
+/// Records when the peer leaves; never completes.
+async fn record_departure<W: WireProtocol>(
+    host: &EntryHost<W>,
+    stream: &SharedStream,
+    departure: &CallerDeparture,
+) {
+    stream.peer_closed().await;
+    departure.on_left(host.now());
+    future::pending::<()>().await;
 }
 
 fn caller_head_timeout<W: WireProtocol>(host: &EntryHost<W>) -> time::Duration {
@@ -216,11 +239,15 @@
 }
 
 async fn serve_peer<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
+    let stream = SharedStream::from(stream);
+    let departure = rc::Rc::new(CallerDeparture::default());
     let service = service_fn(|request: http::Request<Incoming>| {
         let host = rc::Rc::clone(&host);
+        let departure = rc::Rc::clone(&departure);
         async move {
             let response = if request.uri().path() == handoff::HANDOFF_PATH {
-                handoff::receive(&host, request).await.map(Either::Right)
+                let response = handoff::receive(&host, request, departure).await;
+                response.map(Either::Right)
             } else {
                 let response = serve_peer_request(&host, request).await;
                 response.map(Either::Left)
@@ -228,10 +255,13 @@
             Ok::<_, convert::Infallible>(response)
         }
     });
-    // A broken connection needs no handling here; the peer sees it.
-    let _outcome = builder(DEFAULT_HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let connection =
+        builder(DEFAULT_HEAD_TIMEOUT).serve_connection(TokioIo::new(stream.clone()), service);
+    tokio::select! {
+        // A broken connection needs no handling here; the peer sees it.
+        _outcome = connection => {}
+        () = record_departure(&host, &stream, &departure) => {}
+    }
 }
 
 async fn serve_peer_request<W: WireProtocol>(
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use super::departure::DepartureCounters;
 use super::load_metrics::LoadMetrics;
 use super::request_metrics::RequestMetrics;
 use super::store::ObjectKind;
@@ -121,6 +122,8 @@
     pub answers_dropped: u64,
     /// Decisions about patient and urgent requests.
     pub urgency: UrgencyCounters,
+    /// Callers that left.
+    pub departures: DepartureCounters,
     /// The exchange of servers' loads among hosts.
     pub load: LoadMetrics,
 }
@@ -165,6 +168,8 @@
     pub idle_connections: usize,
     /// Requests in flight.
     pub open_requests: u32,
+    /// Streamed answers in flight.
+    pub open_answers: u32,
     /// Requests that wait at this host for a slot of a server.
     pub waiting: usize,
     /// Log lines that were suppressed.
@@ -200,6 +205,7 @@
             page.value(name, value);
         }
         self.urgency.write_to(&mut page, current.waiting);
+        self.departures.write_to(&mut page);
         self.load.write_to(&mut page);
         page.into_text()
     }
@@ -215,7 +221,7 @@
         }
     }
 
-    fn unlabelled(&self, current: &CurrentFigures) -> [(&'static str, u64); 33] {
+    fn unlabelled(&self, current: &CurrentFigures) -> [(&'static str, u64); 34] {
         [
             ("ledgespool_limit_hosts", u64::from(current.limit_hosts)),
             ("ledgespool_repeats_total", self.retries),
@@ -275,6 +281,7 @@
                 current.idle_connections as u64,
             ),
             ("ledgespool_open_requests", u64::from(current.open_requests)),
+            ("ledgespool_open_answers", u64::from(current.open_answers)),
             ("ledgespool_log_left_out_total", current.log_suppressed),
             ("ledgespool_log_dropped_total", current.log_dropped),
         ]
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 pub mod configuration_builder;
 pub mod customer;
 pub mod decision_log;
+pub mod departure;
 pub mod evacuation;
 pub mod exchange;
 pub mod expiry_retention;
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -10,6 +10,7 @@
 use super::attempt_record::ExpectedAnswer;
 use super::configuration::{RouteRule, RouteTable};
 use super::customer::{self, CustomerRule};
+use super::departure::RequestProgress;
 use super::exchange::ForwardRequest;
 use super::fingerprint::{RequestContent, RequestFingerprint};
 use super::handoff::HandoffProgress;
@@ -24,13 +25,15 @@
 /// Time in which a caller must send its body, whatever the request's deadline.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
-/// When a request came.
-#[derive(Debug, Clone, Copy)]
+/// When a request came, and how far it has come since.
+#[derive(Debug, Clone)]
 pub(super) struct RequestTimes {
     /// When the request's head was read.
     pub(super) arrived: Moment,
     /// The earliest moment at which the caller may have sent the request.
     pub(super) sent_from: Moment,
+    /// How far the request has come.
+    pub(super) progress: rc::Rc<RequestProgress>,
 }
 
 /// A request that was read completely and has not been answered yet.
@@ -52,6 +55,8 @@
     pub(super) arrived: Moment,
     /// The earliest moment at which the caller may have sent the request.
     pub(super) sent_from: Moment,
+    /// How far the request has come.
+    pub(super) progress: rc::Rc<RequestProgress>,
     /// When the request must have been answered.
     pub(super) deadline: Moment,
     /// How long the caller waits, if it states that.
@@ -73,7 +78,11 @@
         request: http::Request<Incoming>,
         times: RequestTimes,
     ) -> Result<Self, RequestFailure> {
-        let RequestTimes { arrived, sent_from } = times;
+        let RequestTimes {
+            arrived,
+            sent_from,
+            progress,
+        } = times;
         let routes = host.routes().ok_or(RequestFailure::UNCONFIGURED)?;
         let (head, body) = request.into_parts();
         if header_size(&head.headers) > routes.configuration().limits.header_bytes {
@@ -100,6 +109,7 @@
             object: object_hash(&caller, &route),
             arrived,
             sent_from,
+            progress,
             deadline,
             caller_timeout: caller.time_left,
             service,
@@ -124,6 +134,7 @@
     pub(super) fn from_handoff<W: WireProtocol>(
         host: &EntryHost<W>,
         request: HandoffRequest,
+        progress: rc::Rc<RequestProgress>,
     ) -> Result<Self, RequestFailure> {
         let routes = host.routes().ok_or(RequestFailure::UNCONFIGURED)?;
         let HandoffRequest { head, body } = request;
@@ -151,6 +162,7 @@
             object: object_hash(&caller, &route),
             arrived: now.before(head.age_ms),
             sent_from: now.before(head.age_ms),
+            progress,
             deadline,
             caller_timeout: caller.time_left,
             service,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -14,6 +14,7 @@
 use super::configuration::RouteRule;
 use super::customer::CustomerRule;
 use super::decision_log::LogPriority;
+use super::departure::{CallerDeparture, LateWork, RequestPhase, RequestProgress};
 use super::exchange;
 use super::fingerprint::RequestFingerprint;
 use super::fleet_server::FleetServer;
@@ -35,26 +36,36 @@
 /// A response to a caller.
 pub type CallerResponse<W> = http::Response<AnswerBody<StreamedAnswer<W>>>;
 
-/// Serves one request, which its caller sent at `sent_from` at the earliest, and returns the
-/// response for the caller.
+/// What is known of a request beside its content.
+#[derive(Debug, Clone)]
+pub struct RequestArrival {
+    /// The earliest moment at which the caller may have sent it.
+    pub sent_from: Moment,
+    /// Whether the caller has left.
+    pub departure: rc::Rc<CallerDeparture>,
+}
+
+/// Serves one request and returns the response for the caller.
 pub async fn serve<W: WireProtocol>(
     host: rc::Rc<EntryHost<W>>,
     request: http::Request<Incoming>,
-    sent_from: Moment,
+    arrival: RequestArrival,
 ) -> CallerResponse<W> {
     let id = host.wire.read_caller(request.headers()).request_id;
-    let mut guard = RequestGuard::begin(&host, id.unwrap_or_default().to_owned());
+    let mut guard =
+        RequestGuard::begin(&host, id.unwrap_or_default().to_owned(), arrival.departure);
     host.wait_until_ready().await;
     let times = RequestTimes {
         arrived: guard.arrived,
-        sent_from,
+        sent_from: arrival.sent_from,
+        progress: rc::Rc::clone(&guard.progress),
     };
     let open = OpenRequest::read(&host, request, times).await;
     let response = match process(&mut guard, open).await {
         Ok(response) => response,
         Err(failure) => guard.fail(failure),
     };
-    guard.completed = true;
+    guard.complete();
     response
 }
 
@@ -65,15 +76,16 @@
 pub(super) async fn serve_handoff<W: WireProtocol>(
     host: rc::Rc<EntryHost<W>>,
     request: HandoffRequest,
+    departure: rc::Rc<CallerDeparture>,
 ) -> Result<CallerResponse<W>, RequestFailure> {
     let id = request.head.id.clone().unwrap_or_default();
-    let mut guard = RequestGuard::begin(&host, id);
-    let open = OpenRequest::from_handoff(&host, request);
+    let mut guard = RequestGuard::begin(&host, id, departure);
+    let open = OpenRequest::from_handoff(&host, request, rc::Rc::clone(&guard.progress));
     let result = process(&mut guard, open).await;
     if let Err(failure) = &result {
         guard.record_failure(failure);
     }
-    guard.completed = true;
+    guard.complete();
     result
 }
 
@@ -115,11 +127,12 @@
     /// Whether the retry budget denied a failed request a further attempt.
     retry_denied: bool,
     arrived: Moment,
+    progress: rc::Rc<RequestProgress>,
     completed: bool,
 }
 
 impl<W: WireProtocol> RequestGuard<W> {
-    fn begin(host: &rc::Rc<EntryHost<W>>, id: String) -> Self {
+    fn begin(host: &rc::Rc<EntryHost<W>>, id: String, departure: rc::Rc<CallerDeparture>) -> Self {
         host.on_request_begin();
         Self {
             id,
@@ -131,10 +144,19 @@
             earliest: None,
             retry_denied: false,
             arrived: host.now(),
+            progress: rc::Rc::new(RequestProgress::new(departure)),
             completed: false,
         }
     }
 
+    /// Records that a response is ready.
+    fn complete(&mut self) {
+        self.completed = true;
+        if let Some(work) = self.progress.late_work(self.host.now()) {
+            on_late_work(&self.host, &self.id, self.progress.phase(), work);
+        }
+    }
+
     /// The name and priority of the request's route.
     fn route_label(&self) -> RouteLabel<'_> {
         let route = self.route.as_ref();
@@ -204,20 +226,65 @@
     fn drop(&mut self) {
         self.host.on_request_end();
         if !self.completed {
-            let millis = self.host.now().since(self.arrived);
-            let route = self.route_label();
-            let mut metrics = self.host.metrics.borrow_mut();
-            metrics
-                .requests
-                .on_request(route, RequestCompletion::CallerLeft, millis);
-            let fields = json!({ "id": self.id, "route": route.name, "after_ms": millis });
-            self.host
-                .log
-                .write(EventCode::CallerLeft, LogPriority::Ordinary, fields);
+            on_caller_left(
+                &self.host,
+                &self.id,
+                self.route_label(),
+                self.arrived,
+                &self.progress,
+            );
         }
     }
 }
 
+/// Counts and logs a request that its caller left.
+fn on_caller_left<W: WireProtocol>(
+    host: &EntryHost<W>,
+    id: &str,
+    route: RouteLabel<'_>,
+    arrived: Moment,
+    progress: &RequestProgress,
+) {
+    let now = host.now();
+    let millis = now.since(arrived);
+    let phase = progress.phase();
+    let late_work = progress.late_work(now);
+    let mut metrics = host.metrics.borrow_mut();
+    metrics.departures.on_ended(phase);
+    if phase != RequestPhase::Answering {
+        // Otherwise it has been counted as answered.
+        metrics
+            .requests
+            .on_request(route, RequestCompletion::CallerLeft, millis);
+    }
+    if let Some(work) = late_work {
+        metrics.departures.on_late_work(work);
+    }
+    drop(metrics);
+    let fields = json!({
+        "id": id,
+        "route": route.name,
+        "after_ms": millis,
+        "phase": phase.as_str(),
+        "late_work": late_work,
+    });
+    host.log
+        .write(EventCode::CallerLeft, LogPriority::Ordinary, fields);
+}
+
+/// Counts and logs work that did not end when its caller left.
+fn on_late_work<W: WireProtocol>(
+    host: &EntryHost<W>,
+    id: &str,
+    phase: RequestPhase,
+    work: LateWork,
+) {
+    host.metrics.borrow_mut().departures.on_late_work(work);
+    let fields = json!({ "id": id, "phase": phase.as_str(), "late_work": work });
+    host.log
+        .write(EventCode::WorkAfterDeparture, LogPriority::Ordinary, fields);
+}
+
 fn label_of(route: &RouteRule) -> RouteLabel<'_> {
     RouteLabel {
         name: &route.name,
@@ -236,11 +303,58 @@
 /// Releases the connection when a streamed answer ends.
 #[derive(Debug)]
 pub struct StreamedAnswer<W: WireProtocol> {
-    host: rc::Rc<EntryHost<W>>,
+    guard: AnswerGuard<W>,
     sender: ServerSender,
     source: StreamSource,
 }
 
+/// Counts a streamed answer as open until it is dropped. Logs a departure if the caller leaves before
+/// the answer ends.
+#[derive(Debug)]
+struct AnswerGuard<W: WireProtocol> {
+    host: rc::Rc<EntryHost<W>>,
+    id: String,
+    route: rc::Rc<RouteRule>,
+    arrived: Moment,
+    progress: rc::Rc<RequestProgress>,
+    completed: bool,
+}
+
+impl<W: WireProtocol> AnswerGuard<W> {
+    fn begin(host: &rc::Rc<EntryHost<W>>, open: &OpenRequest) -> Self {
+        host.open_answers.set(host.open_answers.get() + 1);
+        open.progress.enter(RequestPhase::Answering);
+        Self {
+            host: rc::Rc::clone(host),
+            id: open.forward.id.clone().unwrap_or_default(),
+            route: rc::Rc::clone(&open.route),
+            arrived: open.arrived,
+            progress: rc::Rc::clone(&open.progress),
+            completed: false,
+        }
+    }
+
+    /// Records that the server's answer has ended.
+    fn complete(mut self) -> rc::Rc<EntryHost<W>> {
+        self.completed = true;
+        if let Some(work) = self.progress.late_work(self.host.now()) {
+            on_late_work(&self.host, &self.id, RequestPhase::Answering, work);
+        }
+        rc::Rc::clone(&self.host)
+    }
+}
+
+impl<W: WireProtocol> Drop for AnswerGuard<W> {
+    fn drop(&mut self) {
+        let others = self.host.open_answers.get().saturating_sub(1);
+        self.host.open_answers.set(others);
+        if !self.completed {
+            let route = label_of(&self.route);
+            on_caller_left(&self.host, &self.id, route, self.arrived, &self.progress);
+        }
+    }
+}
+
 /// Where a streamed answer comes from.
 #[derive(Debug)]
 enum StreamSource {
@@ -264,7 +378,7 @@
 
 impl<W: WireProtocol> StreamEnd for StreamedAnswer<W> {
     fn on_end(self, complete: bool) {
-        let host = self.host;
+        let host = self.guard.complete();
         match self.source {
             StreamSource::Host(address) if complete => {
                 host.handoffs
@@ -317,7 +431,7 @@
             buffered: Some(answer.buffered),
             remaining,
             on_end: Some(StreamedAnswer {
-                host: rc::Rc::clone(host),
+                guard: AnswerGuard::begin(host, open),
                 sender,
                 source: match source {
                     AnswerSource::Host(target) => StreamSource::Host(target.address),
--- a/src/event.rs
+++ b/src/event.rs
@@ -107,6 +107,7 @@
     ServerEndDoubted = 5029, Info, "A backend server broke connections and refused new ones while this host reached no other either; its requests are not blamed.";
     RequestHandedOver = 5030, Info, "A request was answered by way of another host, since this one reaches no server of its service.";
     HandoffFailed = 5031, Warn, "A request was handed over to another host, which did not answer it.";
+    WorkAfterDeparture = 5032, Warn, "A request was worked on to its end although its caller had left.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod rpc_client;
 pub mod rpc_server;
 pub mod settings;
+pub mod shared_stream;
 pub mod slot_table;
 pub mod source;
 pub mod standin;
