A caller's close ends its requests while others are buffered behind them

Cause: the HTTP library looks for the end of a connection only with an empty read buffer (mid_message_detect_eof). With a part of a further request buffered the host did not see the close until a write failed: it worked to the end of the running request, then sent those behind it. Evidence: on all departures that the library noticed were cancelled within 1 ms; 1,372 requests went on, for 6.1 s at the median after the kernel had the close, with 597 sends. Five tests of tests/departures.rs failed. Change: the connection of a caller, and of a host that hands requests over, is dropped when the kernel reports the close or reset. That event does not depend on reading, so no buffered or unread data can hide it, and the work of a connection is one future. A caller that only shuts down its writing side counts as gone, as it did before for a single request: TCP does not tell the two apart.

--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -1,7 +1,7 @@
 //! The listening sockets of a host: caller requests, lookups, readiness checks, and requests of
 //! other hosts including metrics.
 
-use std::{cell, convert, future, net, rc, time};
+use std::{cell, convert, net, rc, time};
 
 use bytes::Bytes;
 use http_body_util::{Either, Full};
@@ -145,19 +145,19 @@
     tokio::select! {
         // A broken connection needs no handling here; the caller sees it.
         _outcome = connection => {}
-        () = record_departure(&host, &stream, &departure) => {}
+        () = peer_left(&host, &stream, &departure) => {}
     }
 }
 
-/// Records when the peer leaves; never completes.
-async fn record_departure<W: WireProtocol>(
+/// Waits until the peer leaves. Then the requests of its connection must be dropped: the HTTP server
+/// does not notice the end of the stream while it has buffered a part of the next request.
+async fn peer_left<W: WireProtocol>(
     host: &EntryHost<W>,
     stream: &SharedStream,
     departure: &CallerDeparture,
 ) {
     stream.peer_closed().await;
     departure.on_left(host.now());
-    future::pending::<()>().await;
 }
 
 fn caller_head_timeout<W: WireProtocol>(host: &EntryHost<W>) -> time::Duration {
@@ -260,7 +260,7 @@
     tokio::select! {
         // A broken connection needs no handling here; the peer sees it.
         _outcome = connection => {}
-        () = record_departure(&host, &stream, &departure) => {}
+        () = peer_left(&host, &stream, &departure) => {}
     }
 }
 
