A worker's caller that leaves with a request buffered behind frees its slot

What callers saw: a slot of a server and the units of its request stayed taken until the end of work that nobody waited for. Cause: the same as in the entry host; the accept loop of the workers and of the stand-ins (src/listener.rs) uses the same HTTP server, which does not see the end of a connection while a part of the next request is buffered. Evidence: tests/departures.rs failed: the next caller's request began only after the 15 s of work for the caller that had left. Change: the connection ends when the kernel reports the close. An unsent claim is released and a sent one stays pending, as for a single request. Measured: the test passes (1.2 s); all other tests of the package pass.

--- a/src/listener.rs
+++ b/src/listener.rs
@@ -9,6 +9,8 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::sync::watch;
 
+use crate::shared_stream::SharedStream;
+
 /// Time within which a request's headers must arrive, and the longest idle time of a connection.
 const HEADER_READ_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 /// The largest request head, in bytes.
@@ -62,6 +64,7 @@
         if graceful.count() >= max_connections || stream.set_nodelay(true).is_err() {
             continue;
         }
+        let stream = SharedStream::from(stream);
         let handler = handler.clone();
         let service = service_fn(move |request| {
             let answer = handler(request, peer);
@@ -72,11 +75,15 @@
             .header_read_timeout(HEADER_READ_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(stream.clone()), service);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            // The caller sees a broken connection itself; nobody else is affected.
-            let _outcome = watched.await;
+            tokio::select! {
+                // The caller sees a broken connection itself; nobody else is affected.
+                _outcome = watched => {}
+                // The HTTP server does not notice it while it has buffered a part of the next request.
+                () = stream.peer_closed() => {}
+            }
         });
     }
     drop(listener);
