A departure is recorded before anything else is done for the caller

Operators saw a caller that left within its request's body sometimes as EV5011 "the body broke off" and sometimes as EV5013, and a third of the departures without late_work: the HTTP library and the kernel's event were polled in random order. Change: the kernel's event is polled first, for callers and for hosts that hand over.

--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -143,9 +143,11 @@
     let connection =
         builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(stream.clone()), service);
     tokio::select! {
+        // A departure is recorded before anything else is done for the caller.
+        biased;
+        () = peer_left(&host, &stream, &departure) => {}
         // A broken connection needs no handling here; the caller sees it.
         _outcome = connection => {}
-        () = peer_left(&host, &stream, &departure) => {}
     }
 }
 
@@ -258,9 +260,10 @@
     let connection =
         builder(DEFAULT_HEAD_TIMEOUT).serve_connection(TokioIo::new(stream.clone()), service);
     tokio::select! {
+        biased;
+        () = peer_left(&host, &stream, &departure) => {}
         // A broken connection needs no handling here; the peer sees it.
         _outcome = connection => {}
-        () = peer_left(&host, &stream, &departure) => {}
     }
 }
 
