Review of the departures: one function ends a connection whose peer left

serve_until_left replaces two equal selects; the progress of a request is a parameter of its own instead of a field of its times; doc comments.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -150,7 +150,7 @@
     pub deadline: Moment,
     /// The token that allows sending it to a server with a limit.
     pub right: SendToken,
-    /// Is told when the request is written.
+    /// Records that the request is written.
     pub progress: &'a RequestProgress,
 }
 
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -142,24 +142,28 @@
     });
     let connection =
         builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(stream.clone()), service);
-    tokio::select! {
-        // A departure is recorded before anything else is done for the caller.
-        biased;
-        () = peer_left(&host, &stream, &departure) => {}
-        // A broken connection needs no handling here; the caller sees it.
-        _outcome = connection => {}
-    }
+    serve_until_left(&host, &stream, &departure, connection).await;
 }
 
-/// Waits until the peer leaves. Then the requests of its connection must be dropped: the HTTP server
-/// does not notice the end of the stream while it has buffered a part of the next request.
-async fn peer_left<W: WireProtocol>(
+/// Serves a connection until it ends or its peer leaves, which drops the work on all its requests.
+/// The HTTP server does not notice a departure while it has buffered a part of the next request.
+async fn serve_until_left<W: WireProtocol>(
     host: &EntryHost<W>,
     stream: &SharedStream,
     departure: &CallerDeparture,
+    connection: impl Future<Output = hyper::Result<()>>,
 ) {
-    stream.peer_closed().await;
-    departure.on_left(host.now());
+    let left = async {
+        stream.peer_closed().await;
+        departure.on_left(host.now());
+    };
+    tokio::select! {
+        // A departure is recorded before anything else is done for the caller.
+        biased;
+        () = left => {}
+        // A broken connection needs no handling here; the peer sees it.
+        _outcome = connection => {}
+    }
 }
 
 fn caller_head_timeout<W: WireProtocol>(host: &EntryHost<W>) -> time::Duration {
@@ -259,12 +263,7 @@
     });
     let connection =
         builder(DEFAULT_HEAD_TIMEOUT).serve_connection(TokioIo::new(stream.clone()), service);
-    tokio::select! {
-        biased;
-        () = peer_left(&host, &stream, &departure) => {}
-        // A broken connection needs no handling here; the peer sees it.
-        _outcome = connection => {}
-    }
+    serve_until_left(&host, &stream, &departure, connection).await;
 }
 
 async fn serve_peer_request<W: WireProtocol>(
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -25,15 +25,13 @@
 /// Time in which a caller must send its body, whatever the request's deadline.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
-/// When a request came, and how far it has come since.
-#[derive(Debug, Clone)]
+/// When a request came.
+#[derive(Debug, Clone, Copy)]
 pub(super) struct RequestTimes {
     /// When the request's head was read.
     pub(super) arrived: Moment,
     /// The earliest moment at which the caller may have sent the request.
     pub(super) sent_from: Moment,
-    /// How far the request has come.
-    pub(super) progress: rc::Rc<RequestProgress>,
 }
 
 /// A request that was read completely and has not been answered yet.
@@ -77,12 +75,9 @@
         host: &EntryHost<W>,
         request: http::Request<Incoming>,
         times: RequestTimes,
+        progress: rc::Rc<RequestProgress>,
     ) -> Result<Self, RequestFailure> {
-        let RequestTimes {
-            arrived,
-            sent_from,
-            progress,
-        } = times;
+        let RequestTimes { arrived, sent_from } = times;
         let routes = host.routes().ok_or(RequestFailure::UNCONFIGURED)?;
         let (head, body) = request.into_parts();
         if header_size(&head.headers) > routes.configuration().limits.header_bytes {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -36,12 +36,12 @@
 /// A response to a caller.
 pub type CallerResponse<W> = http::Response<AnswerBody<StreamedAnswer<W>>>;
 
-/// What is known of a request beside its content.
+/// When and from whom a request arrived.
 #[derive(Debug, Clone)]
 pub struct RequestArrival {
     /// The earliest moment at which the caller may have sent it.
     pub sent_from: Moment,
-    /// Whether the caller has left.
+    /// Whether its caller has left.
     pub departure: rc::Rc<CallerDeparture>,
 }
 
@@ -58,9 +58,9 @@
     let times = RequestTimes {
         arrived: guard.arrived,
         sent_from: arrival.sent_from,
-        progress: rc::Rc::clone(&guard.progress),
     };
-    let open = OpenRequest::read(&host, request, times).await;
+    let progress = rc::Rc::clone(&guard.progress);
+    let open = OpenRequest::read(&host, request, times, progress).await;
     let response = match process(&mut guard, open).await {
         Ok(response) => response,
         Err(failure) => guard.fail(failure),
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -81,7 +81,8 @@
             tokio::select! {
                 // The caller sees a broken connection itself; nobody else is affected.
                 _outcome = watched => {}
-                // The HTTP server does not notice it while it has buffered a part of the next request.
+                // The HTTP server does not notice the close while it has buffered a part of the next
+                // request.
                 () = stream.peer_closed() => {}
             }
         });
--- a/src/shared_stream.rs
+++ b/src/shared_stream.rs
@@ -44,6 +44,20 @@
             }
         }
     }
+
+    fn poll_write_with(
+        &self,
+        cx: &mut task::Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> task::Poll<io::Result<usize>> {
+        loop {
+            task::ready!(self.stream.poll_write_ready(cx))?;
+            match write(&self.stream) {
+                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
+                result => return task::Poll::Ready(result),
+            }
+        }
+    }
 }
 
 impl From<TcpStream> for SharedStream {
@@ -107,19 +121,3 @@
         task::Poll::Ready(socket.shutdown(net::Shutdown::Write))
     }
 }
-
-impl SharedStream {
-    fn poll_write_with(
-        &self,
-        cx: &mut task::Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> task::Poll<io::Result<usize>> {
-        loop {
-            task::ready!(self.stream.poll_write_ready(cx))?;
-            match write(&self.stream) {
-                Err(fault) if fault.kind() == io::ErrorKind::WouldBlock => {}
-                result => return task::Poll::Ready(result),
-            }
-        }
-    }
-}
