A body that ends with its connection is logged as a departure

Operators saw a caller that left within its request's body as EV5011 "the body broke off" with status 400, or as EV5013, by chance. Cause: after the first part of a body the HTTP library reads on in the same turn; if the close has arrived meanwhile, it sees the end before the kernel's event is processed. Change: a body that cannot be read because its connection was closed or reset ends the request as a departure; one that is malformed is refused as before. Nothing was sent either way.

--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request: finds its route and customer, reads its body and sets its deadline.
 
-use std::{cell, rc, time};
+use std::{cell, error, io, iter, rc, time};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -311,9 +311,10 @@
             http::StatusCode::PAYLOAD_TOO_LARGE,
             "the body is too large",
         )),
-        Ok(Err(_)) => Err(RequestFailure::rejected(
+        Ok(Err(fault)) if has_connection_ended(&*fault) => Err(RequestFailure::CALLER_LEFT),
+        Ok(Err(_malformed)) => Err(RequestFailure::rejected(
             http::StatusCode::BAD_REQUEST,
-            "the body broke off",
+            "the body is malformed",
         )),
         Err(_elapsed) => Err(RequestFailure::rejected(
             http::StatusCode::REQUEST_TIMEOUT,
@@ -321,3 +322,17 @@
         )),
     }
 }
+
+/// Whether a body could not be read because its connection was closed or reset.
+fn has_connection_ended(fault: &(dyn error::Error + 'static)) -> bool {
+    let causes = iter::successors(Some(fault), |fault| fault.source());
+    let mut kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>());
+    kinds.any(|fault| {
+        matches!(
+            fault.kind(),
+            io::ErrorKind::UnexpectedEof
+                | io::ErrorKind::ConnectionReset
+                | io::ErrorKind::ConnectionAborted
+        )
+    })
+}
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -63,6 +63,10 @@
     let open = OpenRequest::read(&host, request, times, progress).await;
     let response = match process(&mut guard, open).await {
         Ok(response) => response,
+        Err(failure) if failure.completion == RequestCompletion::CallerLeft => {
+            // The guard records the departure.
+            return failure_response(failure.status);
+        }
         Err(failure) => guard.fail(failure),
     };
     guard.complete();
@@ -208,8 +212,7 @@
             let mut metrics = host.metrics.borrow_mut();
             metrics.requests.on_refused_within_limit(&customer.name);
         }
-        let mut response = http::Response::new(AnswerBody::whole(Bytes::new()));
-        *response.status_mut() = failure.status;
+        let mut response = failure_response(failure.status);
         if let Ok(code) = http::HeaderValue::from_str(&failure.code().to_string()) {
             response.headers_mut().insert(CODE_HEADER, code);
         }
@@ -285,6 +288,12 @@
         .write(EventCode::WorkAfterDeparture, LogPriority::Ordinary, fields);
 }
 
+fn failure_response<W: WireProtocol>(status: http::StatusCode) -> CallerResponse<W> {
+    let mut response = http::Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
 fn label_of(route: &RouteRule) -> RouteLabel<'_> {
     RouteLabel {
         name: &route.name,
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -92,6 +92,12 @@
         LEAVING_RETRY_MS,
         "this host stops before the request's time is over",
     );
+    /// The connection ended within the request's body. The response is not delivered.
+    pub(super) const CALLER_LEFT: Self = Self::with_status(
+        http::StatusCode::BAD_REQUEST,
+        RequestCompletion::CallerLeft,
+        "the caller left within the request's body",
+    );
     /// No route matches the request.
     pub(super) const NO_ROUTE: Self = Self::rejected(http::StatusCode::NOT_FOUND, "no route");
     /// The request carries no key although its route requires one.
