Review case 1: a refused request runs and is answered 503

A host sends a request that a backend turned away with free slots to the same backend again, over the same connection. A late second copy of the refusal carries the same id and passes for the answer to the second send, which the backend runs (REFUSED). With three attempts the request runs twice (TWICE).

--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -70,6 +70,8 @@
 /// The operator's configuration, in the form of `config/main`.
 pub fn configuration(version: u32, routes: &[Route]) -> Json {
     let list = |items: Vec<Json>| Json::List(items);
+    // As in the pages' example; `ATTEMPTS` sets another number.
+    let attempts = std::env::var("ATTEMPTS").ok().and_then(|text| text.parse().ok()).unwrap_or(2);
     let route = |route: &Route| {
         Json::object([
             ("name", Json::text(&format!("r-{}", route.prefix.trim_matches('/')))),
@@ -80,7 +82,7 @@
             ("goal", Json::text(&format!("{}ms", route.goal_ms))),
             ("priority", Json::number(1)),
             ("service", Json::text(route.service)),
-            ("attempts", Json::number(2)),
+            ("attempts", Json::number(attempts)),
             ("sticky", Json::Bool(true)),
             ("home_regions", list(Vec::new())),
         ])
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod record;
+mod stale_refusal;
 mod stopped_download;
 mod store;
 
@@ -31,6 +32,7 @@
     };
     record.note(&format!("case {name}, trouble {}", u8::from(trouble)));
     let result = match name.as_str() {
+        "stale-refusal" => stale_refusal::run(&record, trouble),
         "stopped-download" => stopped_download::run(&record, trouble),
         _ => Err(format!("there is no case {name}")),
     };
--- /dev/null
+++ b/review/standins/stale_refusal.rs
@@ -0,0 +1,243 @@
+//! A backend turns a request away, and the host sends it again to the same backend, which has free
+//! slots. A second copy of the refusal arrives late, in the place of the answer that is due.
+
+use std::io::{self, BufReader, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::backend::{Arrival, Backend, Work};
+use crate::client::{self, Client, Reply, Request};
+use crate::deployment::{self, Folder, Route};
+use crate::http::{self, Head};
+use crate::record::Record;
+use crate::store::Store;
+
+const SERVICE: &str = "artefact-vault";
+const WORK: Duration = Duration::from_millis(384);
+/// A backend turns away one arrival in so many. The pages give no reason for a 429.
+const ARRIVALS_PER_REFUSAL: u64 = 8;
+/// A faulty backend sends a second copy of so many of a hundred answers.
+const SURPLUS_PERCENT: u64 = 3;
+/// How late a surplus answer is.
+const LATE: Duration = Duration::from_millis(20);
+/// How long the backends are faulty at a time, and how long they are sound in between.
+const FAULTY: Duration = Duration::from_millis(5_000);
+const SOUND: Duration = Duration::from_millis(1_500);
+const WINDOWS: u32 = 10;
+const CLIENTS: u64 = 32;
+/// The objects that the requests are about.
+const OBJECTS: u64 = 24;
+
+/// What the connections of one backend share.
+#[derive(Default)]
+struct Shared {
+    arrivals: AtomicU64,
+    answers: AtomicU64,
+    surplus: AtomicU64,
+}
+
+struct Vault {
+    shared: Arc<Shared>,
+    is_faulty: bool,
+    garbles: Arc<AtomicBool>,
+    /// A second copy of the last answer, and when it is sent.
+    surplus: Option<(Instant, String, String)>,
+}
+
+impl Vault {
+    fn answer(&mut self, arrival: &Arrival<'_>, text: String, stream: &mut TcpStream) -> io::Result<()> {
+        stream.write_all(text.as_bytes())?;
+        if self.is_faulty && self.garbles.load(Ordering::Relaxed) {
+            let number = self.shared.answers.fetch_add(1, Ordering::Relaxed) + 1;
+            if mix(number) % 100 < SURPLUS_PERCENT {
+                self.shared.surplus.fetch_add(1, Ordering::Relaxed);
+                self.surplus = Some((Instant::now() + LATE, text, arrival.id().to_owned()));
+            }
+        }
+        Ok(())
+    }
+
+    fn send_surplus(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        let Some((at, text, _id)) = self.surplus.take() else { return Ok(()) };
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+        stream.write_all(text.as_bytes())
+    }
+}
+
+impl Work for Vault {
+    fn handle(&mut self, arrival: &Arrival<'_>, stream: &mut TcpStream) -> io::Result<bool> {
+        let backend = arrival.backend;
+        // The surplus answer to the last request is due before this one's.
+        if let Some((_, text, id)) = &self.surplus {
+            let status = text.split(' ').nth(1).unwrap_or("").to_owned();
+            backend.record.note(&format!(
+                "backend {} sends a second {status} to {id} where the answer to {} is due",
+                backend.id,
+                arrival.id()
+            ));
+        }
+        let number = self.shared.arrivals.fetch_add(1, Ordering::Relaxed) + 1;
+        if number.is_multiple_of(ARRIVALS_PER_REFUSAL) {
+            self.send_surplus(stream)?;
+            backend.record.note(&format!("backend {} turns {} away", backend.id, arrival.id()));
+            let refusal = arrival.refusal("429 Too Many Requests");
+            self.answer(arrival, refusal, stream)?;
+            return Ok(true);
+        }
+        let running = arrival.run();
+        let began = Instant::now();
+        self.send_surplus(stream)?;
+        std::thread::sleep(WORK.saturating_sub(began.elapsed()));
+        drop(running);
+        let answer = arrival.signed_answer("charged");
+        self.answer(arrival, answer, stream)?;
+        Ok(true)
+    }
+
+    fn next_head(
+        &mut self,
+        reader: &mut BufReader<TcpStream>,
+        stream: &mut TcpStream,
+    ) -> io::Result<Option<Head>> {
+        if let Some((at, _, _)) = &self.surplus {
+            let left = at.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+            reader.get_ref().set_read_timeout(Some(left))?;
+            let waited = std::io::BufRead::fill_buf(reader).map(|_bytes| ());
+            let idle = Duration::from_secs(crate::backend::IDLE_S);
+            reader.get_ref().set_read_timeout(Some(idle))?;
+            match waited {
+                Ok(()) => {}
+                // Nothing came before it was due: it arrives on an idle connection.
+                Err(fault) if client::is_timeout(&fault) => self.send_surplus(stream)?,
+                Err(fault) => return Err(fault),
+            }
+        }
+        http::read_head(reader)
+    }
+}
+
+/// Spreads consecutive numbers evenly.
+const fn mix(number: u64) -> u64 {
+    let mixed = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    let mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+    mixed >> 33
+}
+
+/// Returns whether the rule held.
+pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
+    let folder = Folder::create().map_err(|fault| fault.to_string())?;
+    let store = Store::start(deployment::listen(deployment::next_ip()));
+    let routes = [Route {
+        prefix: "/charge/",
+        kind: "mutating",
+        service: SERVICE,
+        timeout_ms: 2_000,
+        goal_ms: 300,
+    }];
+    store.put("config", "main", deployment::configuration(2, &routes));
+    let garbles = Arc::new(AtomicBool::new(false));
+    let ip = deployment::next_ip();
+    let mut shared = Vec::new();
+    let zones = ["perth-east", "perth-west"];
+    // Six of ten backends are faulty.
+    let backends: Vec<Arc<Backend>> = (0..10)
+        .map(|number| {
+            let of_backend = Arc::new(Shared::default());
+            // Each backend begins elsewhere in the sequence of its surplus answers.
+            of_backend.answers.store(1_000 * number as u64, Ordering::Relaxed);
+            shared.push(Arc::clone(&of_backend));
+            let garbles = Arc::clone(&garbles);
+            let work = move || Vault {
+                shared: Arc::clone(&of_backend),
+                is_faulty: number % 5 < 3,
+                garbles: Arc::clone(&garbles),
+                surplus: None,
+            };
+            let place = (SERVICE, zones[number % 2], 9);
+            Backend::start(&format!("i-vault-{number}"), place, (ip, &store, record), work)
+        })
+        .collect();
+    let hosts =
+        deployment::start_hosts(&zones, store.address, backends.len() as u64, &folder, record)?;
+    let end = Instant::now() + (FAULTY + SOUND) * WINDOWS;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let host = hosts[(number % hosts.len() as u64) as usize].machine.callers;
+            let record = record.clone();
+            std::thread::spawn(move || charge_until(end, host, number, &record))
+        })
+        .collect();
+    for window in 1..=WINDOWS {
+        std::thread::sleep(SOUND);
+        if trouble {
+            record.note(&format!("window {window}: six of ten backends are faulty"));
+            garbles.store(true, Ordering::Relaxed);
+        }
+        std::thread::sleep(FAULTY);
+        garbles.store(false, Ordering::Relaxed);
+    }
+    let replies: Vec<(String, u16)> =
+        clients.into_iter().flat_map(|client| client.join().expect("a sound client")).collect();
+    // A backend may still be at work on the last requests.
+    std::thread::sleep(Duration::from_secs(1));
+    let count = |is_counted: &dyn Fn(u16) -> bool| {
+        replies.iter().filter(|(_, status)| is_counted(*status)).count()
+    };
+    let mut broken = 0;
+    for (id, status) in &replies {
+        let runs: usize = backends.iter().map(|backend| backend.runs(id)).sum();
+        let promises_not_run = matches!(status, 408 | 421 | 429 | 503);
+        if promises_not_run && runs > 0 {
+            broken += 1;
+            record.note(&format!("BROKEN REFUSED: {id} was answered {status} and ran {runs} times"));
+        }
+        if runs > 1 {
+            broken += 1;
+            record.note(&format!("BROKEN TWICE: {id} ran {runs} times"));
+        }
+    }
+    let surplus: u64 = shared.iter().map(|shared| shared.surplus.load(Ordering::Relaxed)).sum();
+    record.note(&format!(
+        "requests {}, answered 200 {}, answered 503 or 429 {}, answered 502 {}, surplus answers {surplus}, broken {broken}",
+        replies.len(),
+        count(&|status| status == 200),
+        count(&|status| status == 503 || status == 429),
+        count(&|status| status == 502),
+    ));
+    Ok(broken == 0)
+}
+
+fn charge_until(
+    end: Instant,
+    host: std::net::SocketAddr,
+    client: u64,
+    record: &Record,
+) -> Vec<(String, u16)> {
+    let mut connection = Client::of(host);
+    let mut replies = Vec::new();
+    let mut number = 0_u64;
+    while Instant::now() < end {
+        number += 1;
+        let id = format!("c{client:02}-{number:04}");
+        let request = Request {
+            method: "DELETE",
+            path: "/charge/credit",
+            id: &id,
+            object: mix(client * 1_000 + number) % OBJECTS,
+            deadline_ms: 2_000,
+            body_bytes: 0,
+        };
+        let reply = connection.send(&request);
+        let (status, text) = match &reply {
+            Ok(reply @ Reply::Whole(head, _)) => (head.status(), reply.text()),
+            Ok(reply) => (0, reply.text()),
+            Err(fault) => (0, fault.to_string()),
+        };
+        record.note(&format!("client {client} sent {id} and got {text}"));
+        replies.push((id, status));
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    replies
+}
