--- a/review/standins/burst_of_uploads.rs
+++ b/review/standins/burst_of_uploads.rs
@@ -9,7 +9,7 @@
 
 use crate::backend::{Arrival, Backend, Work};
 use crate::client::{Client, Reply, Request};
-use crate::deployment::{self, Folder, MEMORY_MB, Route};
+use crate::deployment::{self, Folder, MEMORY_MB, PKD_CI, PKD_CI_SERVICES, Route};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -67,7 +67,7 @@
         route("/read/", "idempotent", "pipeline-desk", 2_500),
         route("/store/", "mutating", "artefact-vault", 8_000),
     ];
-    store.put("config", "main", deployment::configuration(2, &routes));
+    store.put("config", "main", deployment::configuration(2, &PKD_CI_SERVICES, &routes));
     let ip = deployment::next_ip();
     let zones = ["perth-east", "perth-west"];
     let start = |number: usize| {
@@ -81,7 +81,7 @@
     };
     let backends: Vec<Arc<Backend>> = (0..12).map(start).collect();
     let mut hosts =
-        deployment::start_hosts(&zones, store.address, backends.len() as u64, &folder, record)?;
+        deployment::start_hosts(&PKD_CI, &zones, store.address, backends.len() as u64, &folder, record)?;
     let callers = hosts[0].machine.callers;
     let end = Instant::now() + LENGTH;
     let readers: Vec<_> = (0..READERS)
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -13,16 +13,39 @@
 use crate::json::Json;
 use crate::record::Record;
 
-/// The halls and regions of the deployment `pkd-ci`.
-pub const ZONES: [(&str, &str); 6] = [
-    ("perth-east", "perth"),
-    ("perth-west", "perth"),
-    ("bunbury-north", "bunbury"),
-    ("bunbury-south", "bunbury"),
-    ("kal-main", "kalgoorlie"),
-    ("kal-annex", "kalgoorlie"),
-];
-/// The memory of a machine of `pkd-ci`, in MB.
+/// What the settings of a host take from its deployment.
+#[derive(Debug)]
+pub struct Site {
+    /// The zones, with their regions.
+    pub zones: [(&'static str, &'static str); 6],
+    retry_slack: u32,
+}
+
+pub const PKD_CI: Site = Site {
+    zones: [
+        ("perth-east", "perth"),
+        ("perth-west", "perth"),
+        ("bunbury-north", "bunbury"),
+        ("bunbury-south", "bunbury"),
+        ("kal-main", "kalgoorlie"),
+        ("kal-annex", "kalgoorlie"),
+    ],
+    retry_slack: 58,
+};
+
+pub const TABLA_PIATRA: Site = Site {
+    zones: [
+        ("timis-a", "ro-vest"),
+        ("arad-b", "ro-vest"),
+        ("iasi-a", "ro-est"),
+        ("suceava-b", "ro-est"),
+        ("craiova-a", "ro-sud"),
+        ("pitesti-b", "ro-sud"),
+    ],
+    retry_slack: 64,
+};
+
+/// The memory of a machine of either site, in MB.
 pub const MEMORY_MB: u64 = 260;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -64,11 +87,14 @@
     pub goal_ms: u64,
 }
 
+/// A service's name, and the requests a second that a cold backend of it bears.
+pub type Service = (&'static str, &'static str);
+
 /// The host name of all routes.
 pub const HOST_NAME: &str = "ficu95.example";
 
 /// The operator's configuration, in the form of `config/main`.
-pub fn configuration(version: u32, routes: &[Route]) -> Json {
+pub fn configuration(version: u32, services: &[Service], routes: &[Route]) -> Json {
     let list = |items: Vec<Json>| Json::List(items);
     // As in the pages' example; `ATTEMPTS` sets another number.
     let attempts = std::env::var("ATTEMPTS").ok().and_then(|text| text.parse().ok()).unwrap_or(2);
@@ -87,7 +113,7 @@
             ("home_regions", list(Vec::new())),
         ])
     };
-    let service = |name: &str| {
+    let service = |(name, cold_per_s): &Service| {
         Json::object([
             ("name", Json::text(name)),
             ("health_path", Json::text("/health")),
@@ -95,7 +121,7 @@
             ("protocol", Json::text("h1")),
             ("tls", Json::Bool(false)),
             ("warmup", Json::text("3s")),
-            ("cold_per_s", Json::number(14)),
+            ("cold_per_s", Json::Number((*cold_per_s).to_owned())),
         ])
     };
     let limits = Json::object([
@@ -104,7 +130,7 @@
         ("header_timeout", Json::text("3000ms")),
         ("idle", Json::text("15000ms")),
     ]);
-    let services = ["pipeline-desk", "artefact-vault"].map(service).to_vec();
+    let services = services.iter().map(service).collect();
     Json::object([
         ("version", Json::text(&format!("{version:08x}"))),
         ("routes", list(routes.iter().map(route).collect())),
@@ -114,6 +140,9 @@
     ])
 }
 
+/// The services of `pkd-ci`.
+pub const PKD_CI_SERVICES: [Service; 2] = [("pipeline-desk", "14.0"), ("artefact-vault", "14.0")];
+
 /// One machine that runs the role `entry`.
 #[derive(Debug, Clone)]
 pub struct Machine {
@@ -139,10 +168,12 @@
         }
     }
 
-    /// The settings file, as the platform fills it from the template with the fields of `pkd-ci`.
-    fn settings(&self, store: SocketAddr, seeds: &[SocketAddr]) -> String {
-        let region = ZONES.iter().find(|(zone, _)| *zone == self.zone).map_or("", |(_, region)| region);
-        let halls = ZONES.map(|(zone, region)| format!("{{ \"name\": \"{zone}\", \"region\": \"{region}\" }}"));
+    /// The settings file, as the platform fills it from the template with the fields of the site.
+    fn settings(&self, site: &Site, store: SocketAddr, seeds: &[SocketAddr]) -> String {
+        let mut zones = site.zones.iter();
+        let region = zones.find(|(zone, _)| *zone == self.zone).map_or("", |(_, region)| region);
+        let retry_slack = site.retry_slack;
+        let halls = site.zones.map(|(zone, region)| format!("{{ \"name\": \"{zone}\", \"region\": \"{region}\" }}"));
         let halls = halls.join(", ");
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(",");
@@ -155,7 +186,7 @@
   "first_start": true, "store_address": "{store}",
   "memory_mb": {MEMORY_MB}, "descriptors": 4100, "processor_share": 0.2, "link_mbps": 1000.0,
   "stop_grace": "6s", "leave_time": "2500ms", "time_to_live_max": "5s",
-  "retry_ratio": 0.2, "retry_window": "10s", "retry_slack": 58, "urgency": true,
+  "retry_ratio": 0.2, "retry_window": "10s", "retry_slack": {retry_slack}, "urgency": true,
   "cold_factor": 1.5, "cold_slack": 5, "load_exchange_min_hosts": 24, "hall_homes_min_hosts": 8
 }}
 "#
@@ -197,13 +228,14 @@
 
 impl HostProcess {
     pub fn start(
+        site: &Site,
         machine: &Machine,
         store: SocketAddr,
         seeds: &[SocketAddr],
         folder: &Folder,
     ) -> Result<Self, String> {
         let file = folder.0.join(format!("{}.jsonc", machine.name));
-        fs::write(&file, machine.settings(store, seeds)).map_err(|fault| fault.to_string())?;
+        fs::write(&file, machine.settings(site, store, seeds)).map_err(|fault| fault.to_string())?;
         let command = entry_command()?;
         if !Path::new(&command[0]).exists() {
             return Err(format!("{} is not built", command[0]));
@@ -272,6 +304,7 @@
 /// Starts hosts in these zones, and waits until all are ready, know `servers` backends, and know
 /// each other.
 pub fn start_hosts(
+    site: &Site,
     zones: &[&'static str],
     store: SocketAddr,
     servers: u64,
@@ -286,7 +319,7 @@
     let seeds: Vec<SocketAddr> = machines.iter().take(3).map(|machine| machine.control).collect();
     let hosts: Result<Vec<HostProcess>, String> = machines
         .iter()
-        .map(|machine| HostProcess::start(machine, store, &seeds, folder))
+        .map(|machine| HostProcess::start(site, machine, store, &seeds, folder))
         .collect();
     let hosts = hosts?;
     let others = zones.len() as u64 - 1;
--- a/review/standins/stale_refusal.rs
+++ b/review/standins/stale_refusal.rs
@@ -9,15 +9,23 @@
 
 use crate::backend::{Arrival, Backend, Work};
 use crate::client::{self, Client, Reply, Request};
-use crate::deployment::{self, Folder, Route};
+use crate::deployment::{self, Folder, Route, Service, TABLA_PIATRA};
 use crate::http::{self, Head};
 use crate::record::Record;
 use crate::store::Store;
 
-const SERVICE: &str = "artefact-vault";
-const WORK: Duration = Duration::from_millis(384);
-/// A backend turns away one arrival in so many. The pages give no reason for a 429.
-const ARRIVALS_PER_REFUSAL: u64 = 8;
+/// The service that records moves in `tabla-piatra`. A move takes 480 ms there, and less where the
+/// backend has seen its object lately.
+const SERVICE: &str = "mutare";
+const SERVICES: [Service; 1] = [(SERVICE, "9.9")];
+const WORK: Duration = Duration::from_millis(200);
+const SLOTS: u32 = 4;
+const BACKENDS: usize = 15;
+/// Two backends of fifteen turn so many of a hundred requests away, although they have free slots.
+const SHED_PERCENT: u64 = 45;
+const SHEDDING: usize = 2;
+/// Nine backends of fifteen send second copies, the shedding ones among them.
+const GARBLING: usize = 9;
 /// A faulty backend sends a second copy of so many of a hundred answers.
 const SURPLUS_PERCENT: u64 = 3;
 /// How late a surplus answer is.
@@ -25,10 +33,10 @@
 /// How long the backends are faulty at a time, and how long they are sound in between.
 const FAULTY: Duration = Duration::from_millis(5_000);
 const SOUND: Duration = Duration::from_millis(1_500);
-const WINDOWS: u32 = 10;
-const CLIENTS: u64 = 32;
+const WINDOWS: u32 = 13;
+const CLIENTS: u64 = 48;
 /// The objects that the requests are about.
-const OBJECTS: u64 = 24;
+const OBJECTS: u64 = 240;
 
 /// What the connections of one backend share.
 #[derive(Default)]
@@ -38,18 +46,20 @@
     surplus: AtomicU64,
 }
 
-struct Vault {
+struct Recorder {
     shared: Arc<Shared>,
-    is_faulty: bool,
-    garbles: Arc<AtomicBool>,
+    sheds: bool,
+    garbles: bool,
+    /// Whether the backends are faulty now.
+    trouble: Arc<AtomicBool>,
     /// A second copy of the last answer, and when it is sent.
     surplus: Option<(Instant, String, String)>,
 }
 
-impl Vault {
+impl Recorder {
     fn answer(&mut self, arrival: &Arrival<'_>, text: String, stream: &mut TcpStream) -> io::Result<()> {
         stream.write_all(text.as_bytes())?;
-        if self.is_faulty && self.garbles.load(Ordering::Relaxed) {
+        if self.garbles && self.trouble.load(Ordering::Relaxed) {
             let number = self.shared.answers.fetch_add(1, Ordering::Relaxed) + 1;
             if mix(number) % 100 < SURPLUS_PERCENT {
                 self.shared.surplus.fetch_add(1, Ordering::Relaxed);
@@ -66,7 +76,7 @@
     }
 }
 
-impl Work for Vault {
+impl Work for Recorder {
     fn handle(&mut self, arrival: &Arrival<'_>, stream: &mut TcpStream) -> io::Result<bool> {
         let backend = arrival.backend;
         // The surplus answer to the last request is due before this one's.
@@ -79,10 +89,11 @@
             ));
         }
         let number = self.shared.arrivals.fetch_add(1, Ordering::Relaxed) + 1;
-        if number.is_multiple_of(ARRIVALS_PER_REFUSAL) {
+        let sheds = self.sheds && self.trouble.load(Ordering::Relaxed);
+        if sheds && mix(number ^ 0x5EED) % 100 < SHED_PERCENT {
             self.send_surplus(stream)?;
             backend.record.note(&format!("backend {} turns {} away", backend.id, arrival.id()));
-            let refusal = arrival.refusal("429 Too Many Requests");
+            let refusal = arrival.refusal("503 Service Unavailable");
             self.answer(arrival, refusal, stream)?;
             return Ok(true);
         }
@@ -91,7 +102,7 @@
         self.send_surplus(stream)?;
         std::thread::sleep(WORK.saturating_sub(began.elapsed()));
         drop(running);
-        let answer = arrival.signed_answer("charged");
+        let answer = arrival.signed_answer("recorded");
         self.answer(arrival, answer, stream)?;
         Ok(true)
     }
@@ -130,53 +141,56 @@
     let folder = Folder::create().map_err(|fault| fault.to_string())?;
     let store = Store::start(deployment::listen(deployment::next_ip()));
     let routes = [Route {
-        prefix: "/charge/",
+        prefix: "/move/",
         kind: "mutating",
         service: SERVICE,
-        timeout_ms: 2_000,
-        goal_ms: 300,
+        timeout_ms: 2_500,
+        goal_ms: 400,
     }];
-    store.put("config", "main", deployment::configuration(2, &routes));
-    let garbles = Arc::new(AtomicBool::new(false));
+    store.put("config", "main", deployment::configuration(2, &SERVICES, &routes));
+    let is_trouble = Arc::new(AtomicBool::new(false));
     let ip = deployment::next_ip();
     let mut shared = Vec::new();
-    let zones = ["perth-east", "perth-west"];
-    // Six of ten backends are faulty.
-    let backends: Vec<Arc<Backend>> = (0..10)
+    let zones = ["timis-a", "arad-b"];
+    let backends: Vec<Arc<Backend>> = (0..BACKENDS)
         .map(|number| {
             let of_backend = Arc::new(Shared::default());
             // Each backend begins elsewhere in the sequence of its surplus answers.
             of_backend.answers.store(1_000 * number as u64, Ordering::Relaxed);
             shared.push(Arc::clone(&of_backend));
-            let garbles = Arc::clone(&garbles);
-            let work = move || Vault {
+            let trouble = Arc::clone(&is_trouble);
+            let work = move || Recorder {
                 shared: Arc::clone(&of_backend),
-                is_faulty: number % 5 < 3,
-                garbles: Arc::clone(&garbles),
+                sheds: number < SHEDDING,
+                garbles: number < GARBLING,
+                trouble: Arc::clone(&trouble),
                 surplus: None,
             };
-            let place = (SERVICE, zones[number % 2], 9);
-            Backend::start(&format!("i-vault-{number}"), place, (ip, &store, record), work)
+            let place = (SERVICE, zones[number % 2], SLOTS);
+            Backend::start(&format!("i-mutare-{number}"), place, (ip, &store, record), work)
         })
         .collect();
+    let count = backends.len() as u64;
     let hosts =
-        deployment::start_hosts(&zones, store.address, backends.len() as u64, &folder, record)?;
+        deployment::start_hosts(&TABLA_PIATRA, &zones, store.address, count, &folder, record)?;
     let end = Instant::now() + (FAULTY + SOUND) * WINDOWS;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let host = hosts[(number % hosts.len() as u64) as usize].machine.callers;
             let record = record.clone();
-            std::thread::spawn(move || charge_until(end, host, number, &record))
+            std::thread::spawn(move || move_until(end, host, number, &record))
         })
         .collect();
     for window in 1..=WINDOWS {
         std::thread::sleep(SOUND);
         if trouble {
-            record.note(&format!("window {window}: six of ten backends are faulty"));
-            garbles.store(true, Ordering::Relaxed);
+            record.note(&format!(
+                "span {window}: {SHEDDING} of {BACKENDS} backends shed, {GARBLING} send second copies"
+            ));
+            is_trouble.store(true, Ordering::Relaxed);
         }
         std::thread::sleep(FAULTY);
-        garbles.store(false, Ordering::Relaxed);
+        is_trouble.store(false, Ordering::Relaxed);
     }
     let replies: Vec<(String, u16)> =
         clients.into_iter().flat_map(|client| client.join().expect("a sound client")).collect();
@@ -209,7 +223,7 @@
     Ok(broken == 0)
 }
 
-fn charge_until(
+fn move_until(
     end: Instant,
     host: std::net::SocketAddr,
     client: u64,
@@ -222,12 +236,12 @@
         number += 1;
         let id = format!("c{client:02}-{number:04}");
         let request = Request {
-            method: "DELETE",
-            path: "/charge/credit",
+            method: "POST",
+            path: "/move/commit",
             id: &id,
             object: mix(client * 1_000 + number) % OBJECTS,
-            deadline_ms: 2_000,
-            body_bytes: 0,
+            deadline_ms: 2_500,
+            body_bytes: 1_200,
         };
         let reply = connection.send(&request);
         let (status, text) = match &reply {
--- a/review/standins/stopped_download.rs
+++ b/review/standins/stopped_download.rs
@@ -8,7 +8,7 @@
 
 use crate::backend::{Arrival, Backend, Work};
 use crate::client::{Client, Reply, Request};
-use crate::deployment::{self, Folder, Route};
+use crate::deployment::{self, Folder, PKD_CI, PKD_CI_SERVICES, Route};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -62,7 +62,7 @@
         timeout_ms: DEADLINE_MS,
         goal_ms: 1_000,
     }];
-    store.put("config", "main", deployment::configuration(2, &routes));
+    store.put("config", "main", deployment::configuration(2, &PKD_CI_SERVICES, &routes));
     let ip = deployment::next_ip();
     let zones = ["perth-east", "perth-west"];
     let backends: Vec<Arc<Backend>> = (0..6)
@@ -72,7 +72,7 @@
         })
         .collect();
     let mut hosts =
-        deployment::start_hosts(&zones, store.address, backends.len() as u64, &folder, record)?;
+        deployment::start_hosts(&PKD_CI, &zones, store.address, backends.len() as u64, &folder, record)?;
     let callers = hosts[0].machine.callers;
     let began = Instant::now();
     let downloads: Vec<_> = (0..CALLERS)
