Review case 2: a short silence of the store blinds all hosts for 6 s

A store that gives no answers for half a second, just after a change, swallows the next watch of every host that follows it, and each notices after 6 s. A configuration that is acknowledged when the core is stable again is in force too late (CONFIG): requests run at the service that their route has left.

--- a/review/standins/backend.rs
+++ b/review/standins/backend.rs
@@ -81,8 +81,14 @@
     pub fn run(&self) -> Running<'_> {
         let backend = self.backend;
         backend.running.fetch_add(1, Ordering::Relaxed);
-        backend.ran.lock().expect("a sound lock").push(self.id().to_owned());
-        backend.record.note(&format!("backend {} runs {}", backend.id, self.id()));
+        backend
+            .ran
+            .lock()
+            .expect("a sound lock")
+            .push(self.id().to_owned());
+        backend
+            .record
+            .note(&format!("backend {} runs {}", backend.id, self.id()));
         Running(backend)
     }
 }
@@ -154,12 +160,21 @@
     fn load(&self) -> String {
         let running = self.running.load(Ordering::Relaxed);
         let slots = self.slots;
-        format!("{},{},{slots}", running.min(slots), running.saturating_sub(slots))
+        format!(
+            "{},{},{slots}",
+            running.min(slots),
+            running.saturating_sub(slots)
+        )
     }
 
     /// How often it ran the request with this id.
     pub fn runs(&self, id: &str) -> usize {
-        self.ran.lock().expect("a sound lock").iter().filter(|ran| *ran == id).count()
+        self.ran
+            .lock()
+            .expect("a sound lock")
+            .iter()
+            .filter(|ran| *ran == id)
+            .count()
     }
 
     fn serve(&self, stream: TcpStream, work: &mut impl Work) -> io::Result<()> {
@@ -169,7 +184,10 @@
         let mut reader = BufReader::new(stream);
         while let Some(head) = work.next_head(&mut reader, &mut writer)? {
             http::read_body(&mut reader, &head, |_bytes| {})?;
-            let arrival = Arrival { backend: self, head };
+            let arrival = Arrival {
+                backend: self,
+                head,
+            };
             let target = arrival.head.header("target-instance");
             if target.is_some_and(|target| target != self.id) {
                 let lines = format!("Not-Executed: 1\r\nInstance-Id: {}\r\n", self.id);
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -49,7 +49,11 @@
 
 impl Client {
     pub fn of(host: SocketAddr) -> Self {
-        Self { host, connection: None, carried: 0 }
+        Self {
+            host,
+            connection: None,
+            carried: 0,
+        }
     }
 
     /// Sends a request and waits for the whole answer.
@@ -87,11 +91,21 @@
 }
 
 pub fn is_timeout(fault: &io::Error) -> bool {
-    matches!(fault.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+    matches!(
+        fault.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
 }
 
 pub fn write_request(stream: &mut TcpStream, request: &Request<'_>) -> io::Result<()> {
-    let Request { method, path, id, object, deadline_ms, body_bytes } = request;
+    let Request {
+        method,
+        path,
+        id,
+        object,
+        deadline_ms,
+        body_bytes,
+    } = request;
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {HOST_NAME}\r\nRequest-Id: {id}\r\n\
          Cookie: Affinity-Key={object}\r\nRequest-Deadline: {deadline_ms}\r\nContent-Length: {body_bytes}\r\n\r\n"
--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -6,7 +6,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http;
@@ -19,6 +19,7 @@
     /// The zones, with their regions.
     pub zones: [(&'static str, &'static str); 6],
     retry_slack: u32,
+    leave_ms: u32,
 }
 
 pub const PKD_CI: Site = Site {
@@ -31,6 +32,20 @@
         ("kal-annex", "kalgoorlie"),
     ],
     retry_slack: 58,
+    leave_ms: 2_500,
+};
+
+pub const HVHR_LEDGE: Site = Site {
+    zones: [
+        ("koshi-dhankuta", "koshi"),
+        ("koshi-ilam", "koshi"),
+        ("gandaki-pokhara", "gandaki"),
+        ("gandaki-syangja", "gandaki"),
+        ("karnali-surkhet", "karnali"),
+        ("karnali-jumla", "karnali"),
+    ],
+    retry_slack: 58,
+    leave_ms: 2_000,
 };
 
 pub const TABLA_PIATRA: Site = Site {
@@ -43,10 +58,9 @@
         ("pitesti-b", "ro-sud"),
     ],
     retry_slack: 64,
+    leave_ms: 2_500,
 };
 
-/// The memory of a machine of either site, in MB.
-pub const MEMORY_MB: u64 = 260;
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Loopback addresses that no other case uses at the same time.
@@ -64,7 +78,9 @@
 
 /// A listener on a free port.
 pub fn listen(ip: Ipv4Addr) -> TcpListener {
-    (0..1_000).find_map(|_| TcpListener::bind((ip, next_port())).ok()).expect("a free port")
+    (0..1_000)
+        .find_map(|_| TcpListener::bind((ip, next_port())).ok())
+        .expect("a free port")
 }
 
 fn free_address(ip: Ipv4Addr) -> SocketAddr {
@@ -97,10 +113,16 @@
 pub fn configuration(version: u32, services: &[Service], routes: &[Route]) -> Json {
     let list = |items: Vec<Json>| Json::List(items);
     // As in the pages' example; `ATTEMPTS` sets another number.
-    let attempts = std::env::var("ATTEMPTS").ok().and_then(|text| text.parse().ok()).unwrap_or(2);
+    let attempts = std::env::var("ATTEMPTS")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(2);
     let route = |route: &Route| {
         Json::object([
-            ("name", Json::text(&format!("r-{}", route.prefix.trim_matches('/')))),
+            (
+                "name",
+                Json::text(&format!("r-{}", route.prefix.trim_matches('/'))),
+            ),
             ("host", Json::text(HOST_NAME)),
             ("path_prefix", Json::text(route.prefix)),
             ("type", Json::text(route.kind)),
@@ -171,21 +193,37 @@
     /// The settings file, as the platform fills it from the template with the fields of the site.
     fn settings(&self, site: &Site, store: SocketAddr, seeds: &[SocketAddr]) -> String {
         let mut zones = site.zones.iter();
-        let region = zones.find(|(zone, _)| *zone == self.zone).map_or("", |(_, region)| region);
-        let retry_slack = site.retry_slack;
-        let halls = site.zones.map(|(zone, region)| format!("{{ \"name\": \"{zone}\", \"region\": \"{region}\" }}"));
+        let region = zones
+            .find(|(zone, _)| *zone == self.zone)
+            .map_or("", |(_, region)| region);
+        let Site {
+            retry_slack,
+            leave_ms,
+            ..
+        } = site;
+        let halls = site
+            .zones
+            .map(|(zone, region)| format!("{{ \"name\": \"{zone}\", \"region\": \"{region}\" }}"));
         let halls = halls.join(", ");
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let seeds = seeds.join(",");
-        let Self { name, zone, callers, ready, lookups, control, port } = self;
+        let Self {
+            name,
+            zone,
+            callers,
+            ready,
+            lookups,
+            control,
+            port,
+        } = self;
         format!(
             r#"{{
   "name": "{name}", "hall": "{zone}", "region": "{region}", "halls": [ {halls} ],
   "caller_address": "{callers}", "readiness_address": "{ready}", "lookup_address": "{lookups}",
   "peer_address": "{control}", "heartbeat_port": {port}, "seeds": [{seeds}],
   "first_start": true, "store_address": "{store}",
-  "memory_mb": {MEMORY_MB}, "descriptors": 4100, "processor_share": 0.2, "link_mbps": 1000.0,
-  "stop_grace": "6s", "leave_time": "2500ms", "time_to_live_max": "5s",
+  "memory_mb": 260, "descriptors": 4100, "processor_share": 0.2, "link_mbps": 1000.0,
+  "stop_grace": "6s", "leave_time": "{leave_ms}ms", "time_to_live_max": "5s",
   "retry_ratio": 0.2, "retry_window": "10s", "retry_slack": {retry_slack}, "urgency": true,
   "cold_factor": 1.5, "cold_slack": 5, "load_exchange_min_hosts": 24, "hall_homes_min_hosts": 8
 }}
@@ -214,9 +252,17 @@
 /// The command of the role `entry` in the deploy file.
 fn entry_command() -> Result<Vec<String>, String> {
     let text = fs::read_to_string("deploy/system.toml").map_err(|fault| fault.to_string())?;
-    let entry = text.split("[roles.entry]").nth(1).ok_or("no role entry in the deploy file")?;
-    let line = entry.lines().find_map(|line| line.trim().strip_prefix("run = "));
-    let words = line.ok_or("the role entry has no command")?.trim().trim_matches('"');
+    let entry = text
+        .split("[roles.entry]")
+        .nth(1)
+        .ok_or("no role entry in the deploy file")?;
+    let line = entry
+        .lines()
+        .find_map(|line| line.trim().strip_prefix("run = "));
+    let words = line
+        .ok_or("the role entry has no command")?
+        .trim()
+        .trim_matches('"');
     Ok(words.split(' ').map(str::to_owned).collect())
 }
 
@@ -235,7 +281,8 @@
         folder: &Folder,
     ) -> Result<Self, String> {
         let file = folder.0.join(format!("{}.jsonc", machine.name));
-        fs::write(&file, machine.settings(site, store, seeds)).map_err(|fault| fault.to_string())?;
+        fs::write(&file, machine.settings(site, store, seeds))
+            .map_err(|fault| fault.to_string())?;
         let command = entry_command()?;
         if !Path::new(&command[0]).exists() {
             return Err(format!("{} is not built", command[0]));
@@ -249,7 +296,8 @@
             .spawn();
         let mut child = started.map_err(|fault| format!("{}: {fault}", command[0]))?;
         let output = child.stdout.take().expect("a pipe");
-        let log = std::env::var_os("KEEP_LOG").map(|folder| PathBuf::from(folder).join(&machine.name));
+        let log =
+            std::env::var_os("KEEP_LOG").map(|folder| PathBuf::from(folder).join(&machine.name));
         std::thread::spawn(move || {
             let mut file = log.and_then(|path| fs::File::create(path).ok());
             for line in BufReader::new(output).lines().map_while(Result::ok) {
@@ -258,7 +306,10 @@
                 }
             }
         });
-        Ok(Self { machine: machine.clone(), child })
+        Ok(Self {
+            machine: machine.clone(),
+            child,
+        })
     }
 
     pub fn is_ready(&self) -> bool {
@@ -272,7 +323,12 @@
         let (_, body) = http::call(self.machine.control, request).ok()?;
         let page = String::from_utf8(body).ok()?;
         let mut lines = page.lines().filter_map(|line| line.split_once(' '));
-        lines.find(|(known, _)| *known == name)?.1.trim().parse().ok()
+        lines
+            .find(|(known, _)| *known == name)?
+            .1
+            .trim()
+            .parse()
+            .ok()
     }
 
     pub fn signal(&self, name: &str) {
@@ -283,15 +339,6 @@
     pub fn has_exited(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
-
-    /// The resident memory of the process, in kilobytes.
-    pub fn resident_kilobytes(&self) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let text = text.unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with("VmRSS"));
-        let digits = line.and_then(|line| line.split_whitespace().nth(1));
-        digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for HostProcess {
@@ -314,9 +361,14 @@
     let ips: Vec<Ipv4Addr> = zones.iter().map(|_| next_ip()).collect();
     let port = free_udp_port(&ips);
     let machines = zones.iter().zip(&ips).enumerate();
-    let machines: Vec<Machine> =
-        machines.map(|(number, (zone, ip))| Machine::in_zone(zone, number, *ip, port)).collect();
-    let seeds: Vec<SocketAddr> = machines.iter().take(3).map(|machine| machine.control).collect();
+    let machines: Vec<Machine> = machines
+        .map(|(number, (zone, ip))| Machine::in_zone(zone, number, *ip, port))
+        .collect();
+    let seeds: Vec<SocketAddr> = machines
+        .iter()
+        .take(3)
+        .map(|machine| machine.control)
+        .collect();
     let hosts: Result<Vec<HostProcess>, String> = machines
         .iter()
         .map(|machine| HostProcess::start(site, machine, store, &seeds, folder))
@@ -336,7 +388,10 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     for host in &hosts {
-        record.note(&format!("host {} is ready at {}", host.machine.name, host.machine.callers));
+        record.note(&format!(
+            "host {} is ready at {}",
+            host.machine.name, host.machine.callers
+        ));
     }
     Ok(hosts)
 }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -17,7 +17,9 @@
     /// The first value of a header; `name` is in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.headers.iter();
-        headers.find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+        headers
+            .find(|(known, _)| known == name)
+            .map(|(_, value)| value.as_str())
     }
 
     pub fn number(&self, name: &str) -> Option<u64> {
@@ -37,7 +39,10 @@
     /// Whether the sender closes the connection after this message.
     pub fn closes(&self) -> bool {
         let value = self.header("connection").unwrap_or("");
-        value.to_ascii_lowercase().split(',').any(|word| word.trim() == "close")
+        value
+            .to_ascii_lowercase()
+            .split(',')
+            .any(|word| word.trim() == "close")
     }
 }
 
@@ -47,7 +52,10 @@
 
 fn read_line(reader: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
     let mut bytes = Vec::new();
-    let length = reader.by_ref().take(MAX_LINE_BYTES as u64).read_until(b'\n', &mut bytes)?;
+    let length = reader
+        .by_ref()
+        .take(MAX_LINE_BYTES as u64)
+        .read_until(b'\n', &mut bytes)?;
     if length == 0 {
         return Ok(None);
     }
@@ -63,14 +71,20 @@
     let Some(start) = read_line(reader)? else {
         return Ok(None);
     };
-    let mut head = Head { start, headers: Vec::new() };
+    let mut head = Head {
+        start,
+        headers: Vec::new(),
+    };
     loop {
         let line = read_line(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
         if line.is_empty() {
             return Ok(Some(head));
         }
-        let (name, value) = line.split_once(':').ok_or_else(|| invalid("a header line"))?;
-        head.headers.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
+        let (name, value) = line
+            .split_once(':')
+            .ok_or_else(|| invalid("a header line"))?;
+        head.headers
+            .push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
     }
 }
 
@@ -80,7 +94,9 @@
     head: &Head,
     mut take: impl FnMut(&[u8]),
 ) -> io::Result<u64> {
-    let is_chunked = head.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    let is_chunked = head
+        .header("transfer-encoding")
+        .is_some_and(|value| value.contains("chunked"));
     if !is_chunked {
         let length = head.number("content-length").unwrap_or(0);
         return read_exactly(reader, length, &mut take);
@@ -107,7 +123,9 @@
     let mut left = length;
     let mut buffer = [0_u8; 16 * 1024];
     while left > 0 {
-        let part = usize::try_from(left).unwrap_or(usize::MAX).min(buffer.len());
+        let part = usize::try_from(left)
+            .unwrap_or(usize::MAX)
+            .min(buffer.len());
         let count = reader.read(&mut buffer[..part])?;
         if count == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
--- a/review/standins/json.rs
+++ b/review/standins/json.rs
@@ -16,7 +16,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Self> {
-        let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+        let mut parser = Parser {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         let value = parser.value()?;
         parser.space();
         (parser.at == parser.bytes.len()).then_some(value)
@@ -31,7 +34,12 @@
     }
 
     pub fn object<const N: usize>(fields: [(&str, Self); N]) -> Self {
-        Self::Object(fields.into_iter().map(|(name, value)| (name.to_owned(), value)).collect())
+        Self::Object(
+            fields
+                .into_iter()
+                .map(|(name, value)| (name.to_owned(), value))
+                .collect(),
+        )
     }
 
     pub fn get(&self, name: &str) -> &Self {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,12 +4,12 @@
 //! `TROUBLE=0` leaves the disruption out.
 
 mod backend;
-mod burst_of_uploads;
 mod client;
 mod deployment;
 mod http;
 mod json;
 mod record;
+mod stale_configuration;
 mod stale_refusal;
 mod stopped_download;
 mod store;
@@ -34,7 +34,7 @@
     record.note(&format!("case {name}, trouble {}", u8::from(trouble)));
     let result = match name.as_str() {
         "stale-refusal" => stale_refusal::run(&record, trouble),
-        "burst-of-uploads" => burst_of_uploads::run(&record, trouble),
+        "stale-configuration" => stale_configuration::run(&record, trouble),
         "stopped-download" => stopped_download::run(&record, trouble),
         _ => Err(format!("there is no case {name}")),
     };
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -16,7 +16,10 @@
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
         let file = BufWriter::new(File::create(path)?);
-        Ok(Self { began: Instant::now(), file: Arc::new(Mutex::new(file)) })
+        Ok(Self {
+            began: Instant::now(),
+            file: Arc::new(Mutex::new(file)),
+        })
     }
 
     pub fn millis(&self) -> u64 {
--- a/review/standins/stale_refusal.rs
+++ b/review/standins/stale_refusal.rs
@@ -57,7 +57,12 @@
 }
 
 impl Recorder {
-    fn answer(&mut self, arrival: &Arrival<'_>, text: String, stream: &mut TcpStream) -> io::Result<()> {
+    fn answer(
+        &mut self,
+        arrival: &Arrival<'_>,
+        text: String,
+        stream: &mut TcpStream,
+    ) -> io::Result<()> {
         stream.write_all(text.as_bytes())?;
         if self.garbles && self.trouble.load(Ordering::Relaxed) {
             let number = self.shared.answers.fetch_add(1, Ordering::Relaxed) + 1;
@@ -70,7 +75,9 @@
     }
 
     fn send_surplus(&mut self, stream: &mut TcpStream) -> io::Result<()> {
-        let Some((at, text, _id)) = self.surplus.take() else { return Ok(()) };
+        let Some((at, text, _id)) = self.surplus.take() else {
+            return Ok(());
+        };
         std::thread::sleep(at.saturating_duration_since(Instant::now()));
         stream.write_all(text.as_bytes())
     }
@@ -92,7 +99,11 @@
         let sheds = self.sheds && self.trouble.load(Ordering::Relaxed);
         if sheds && mix(number ^ 0x5EED) % 100 < SHED_PERCENT {
             self.send_surplus(stream)?;
-            backend.record.note(&format!("backend {} turns {} away", backend.id, arrival.id()));
+            backend.record.note(&format!(
+                "backend {} turns {} away",
+                backend.id,
+                arrival.id()
+            ));
             let refusal = arrival.refusal("503 Service Unavailable");
             self.answer(arrival, refusal, stream)?;
             return Ok(true);
@@ -113,7 +124,9 @@
         stream: &mut TcpStream,
     ) -> io::Result<Option<Head>> {
         if let Some((at, _, _)) = &self.surplus {
-            let left = at.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+            let left = at
+                .saturating_duration_since(Instant::now())
+                .max(Duration::from_millis(1));
             reader.get_ref().set_read_timeout(Some(left))?;
             let waited = std::io::BufRead::fill_buf(reader).map(|_bytes| ());
             let idle = Duration::from_secs(crate::backend::IDLE_S);
@@ -147,7 +160,11 @@
         timeout_ms: 2_500,
         goal_ms: 400,
     }];
-    store.put("config", "main", deployment::configuration(2, &SERVICES, &routes));
+    store.put(
+        "config",
+        "main",
+        deployment::configuration(2, &SERVICES, &routes),
+    );
     let is_trouble = Arc::new(AtomicBool::new(false));
     let ip = deployment::next_ip();
     let mut shared = Vec::new();
@@ -156,7 +173,9 @@
         .map(|number| {
             let of_backend = Arc::new(Shared::default());
             // Each backend begins elsewhere in the sequence of its surplus answers.
-            of_backend.answers.store(1_000 * number as u64, Ordering::Relaxed);
+            of_backend
+                .answers
+                .store(1_000 * number as u64, Ordering::Relaxed);
             shared.push(Arc::clone(&of_backend));
             let trouble = Arc::clone(&is_trouble);
             let work = move || Recorder {
@@ -167,7 +186,12 @@
                 surplus: None,
             };
             let place = (SERVICE, zones[number % 2], SLOTS);
-            Backend::start(&format!("i-mutare-{number}"), place, (ip, &store, record), work)
+            Backend::start(
+                &format!("i-mutare-{number}"),
+                place,
+                (ip, &store, record),
+                work,
+            )
         })
         .collect();
     let count = backends.len() as u64;
@@ -176,7 +200,9 @@
     let end = Instant::now() + (FAULTY + SOUND) * WINDOWS;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let host = hosts[(number % hosts.len() as u64) as usize].machine.callers;
+            let host = hosts[(number % hosts.len() as u64) as usize]
+                .machine
+                .callers;
             let record = record.clone();
             std::thread::spawn(move || move_until(end, host, number, &record))
         })
@@ -192,12 +218,17 @@
         std::thread::sleep(FAULTY);
         is_trouble.store(false, Ordering::Relaxed);
     }
-    let replies: Vec<(String, u16)> =
-        clients.into_iter().flat_map(|client| client.join().expect("a sound client")).collect();
+    let replies: Vec<(String, u16)> = clients
+        .into_iter()
+        .flat_map(|client| client.join().expect("a sound client"))
+        .collect();
     // A backend may still be at work on the last requests.
     std::thread::sleep(Duration::from_secs(1));
     let count = |is_counted: &dyn Fn(u16) -> bool| {
-        replies.iter().filter(|(_, status)| is_counted(*status)).count()
+        replies
+            .iter()
+            .filter(|(_, status)| is_counted(*status))
+            .count()
     };
     let mut broken = 0;
     for (id, status) in &replies {
@@ -205,14 +236,19 @@
         let promises_not_run = matches!(status, 408 | 421 | 429 | 503);
         if promises_not_run && runs > 0 {
             broken += 1;
-            record.note(&format!("BROKEN REFUSED: {id} was answered {status} and ran {runs} times"));
+            record.note(&format!(
+                "BROKEN REFUSED: {id} was answered {status} and ran {runs} times"
+            ));
         }
         if runs > 1 {
             broken += 1;
             record.note(&format!("BROKEN TWICE: {id} ran {runs} times"));
         }
     }
-    let surplus: u64 = shared.iter().map(|shared| shared.surplus.load(Ordering::Relaxed)).sum();
+    let surplus: u64 = shared
+        .iter()
+        .map(|shared| shared.surplus.load(Ordering::Relaxed))
+        .sum();
     record.note(&format!(
         "requests {}, answered 200 {}, answered 503 or 429 {}, answered 502 {}, surplus answers {surplus}, broken {broken}",
         replies.len(),
--- a/review/standins/stopped_download.rs
+++ b/review/standins/stopped_download.rs
@@ -34,19 +34,30 @@
         let running = arrival.run();
         std::thread::sleep(WORK);
         let lines = format!("Response-Signature: 3e1b.{}\r\n", arrival.backend.id);
-        stream.write_all(arrival.answer_head("200 OK", &lines, ARTEFACT_BYTES).as_bytes())?;
+        stream.write_all(
+            arrival
+                .answer_head("200 OK", &lines, ARTEFACT_BYTES)
+                .as_bytes(),
+        )?;
         let piece = [b'a'; SEND_BYTES];
         let backend = arrival.backend;
         for sent in (0..ARTEFACT_BYTES).step_by(SEND_BYTES) {
             if let Err(fault) = stream.write_all(&piece) {
                 let id = arrival.id();
-                backend.record.note(&format!("backend {}: the host left {id} after {sent} bytes", backend.id));
+                backend.record.note(&format!(
+                    "backend {}: the host left {id} after {sent} bytes",
+                    backend.id
+                ));
                 return Err(fault);
             }
             std::thread::sleep(SEND_PAUSE);
         }
         drop(running);
-        backend.record.note(&format!("backend {} has sent its answer to {}", backend.id, arrival.id()));
+        backend.record.note(&format!(
+            "backend {} has sent its answer to {}",
+            backend.id,
+            arrival.id()
+        ));
         Ok(true)
     }
 }
@@ -62,17 +73,32 @@
         timeout_ms: DEADLINE_MS,
         goal_ms: 1_000,
     }];
-    store.put("config", "main", deployment::configuration(2, &PKD_CI_SERVICES, &routes));
+    store.put(
+        "config",
+        "main",
+        deployment::configuration(2, &PKD_CI_SERVICES, &routes),
+    );
     let ip = deployment::next_ip();
     let zones = ["perth-east", "perth-west"];
     let backends: Vec<Arc<Backend>> = (0..6)
         .map(|number| {
             let place = (SERVICE, zones[number % 2], 3);
-            Backend::start(&format!("i-vault-{number}"), place, (ip, &store, record), || Vault)
+            Backend::start(
+                &format!("i-vault-{number}"),
+                place,
+                (ip, &store, record),
+                || Vault,
+            )
         })
         .collect();
-    let mut hosts =
-        deployment::start_hosts(&PKD_CI, &zones, store.address, backends.len() as u64, &folder, record)?;
+    let mut hosts = deployment::start_hosts(
+        &PKD_CI,
+        &zones,
+        store.address,
+        backends.len() as u64,
+        &folder,
+        record,
+    )?;
     let callers = hosts[0].machine.callers;
     let began = Instant::now();
     let downloads: Vec<_> = (0..CALLERS)
@@ -84,7 +110,10 @@
     std::thread::sleep(STOP_AFTER);
     if trouble {
         hosts[0].signal("TERM");
-        record.note(&format!("SIGTERM to {}; its grace period is 6 s", hosts[0].machine.name));
+        record.note(&format!(
+            "SIGTERM to {}; its grace period is 6 s",
+            hosts[0].machine.name
+        ));
     }
     let mut exited = None;
     while began.elapsed() < STOP_AFTER + GRACE && exited.is_none() && trouble {
@@ -94,7 +123,10 @@
         }
     }
     if let Some(after) = exited {
-        record.note(&format!("the host ended by itself {} ms after SIGTERM", after.as_millis()));
+        record.note(&format!(
+            "the host ended by itself {} ms after SIGTERM",
+            after.as_millis()
+        ));
     }
     let results: Vec<(String, usize, Duration)> = downloads
         .into_iter()
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,13 +32,22 @@
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
+    silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start(listener: TcpListener) -> Self {
         let address = listener.local_addr().expect("a bound address");
-        let state = State { revision: 1, ..State::default() };
-        let store = Self { address, shared: Arc::new((Mutex::new(state), Condvar::new())) };
+        let state = State {
+            revision: 1,
+            ..State::default()
+        };
+        let shared = Arc::new((Mutex::new(state), Condvar::new()));
+        let store = Self {
+            address,
+            shared,
+            silent: Arc::default(),
+        };
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -50,19 +60,40 @@
 
     /// Writes an object, as the operator or a backend does.
     pub fn put(&self, kind: &str, name: &str, spec: Json) {
-        self.shared.0.lock().expect("a sound lock").put(kind, name, Some(spec), None);
+        self.shared
+            .0
+            .lock()
+            .expect("a sound lock")
+            .put(kind, name, Some(spec), None);
         self.shared.1.notify_all();
     }
 
+    /// Begins or ends an outage in which calls get no answer. A connection that loses an answer
+    /// carries nothing further.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
     fn serve(&self, stream: TcpStream) {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
             let mut body = Vec::new();
             if http::read_body(&mut reader, &head, |bytes| body.extend_from_slice(bytes)).is_err() {
                 return;
             }
-            let (status, answer) = self.answer(&head, &String::from_utf8_lossy(&body));
+            let is_lost = self.silent.load(Ordering::SeqCst);
+            let (status, answer) = match is_lost {
+                true => (0, Json::Null),
+                false => self.answer(&head, &String::from_utf8_lossy(&body)),
+            };
+            if is_lost || self.silent.load(Ordering::SeqCst) {
+                // The connection stays open until the caller gives it up.
+                let _ended = std::io::copy(&mut reader, &mut std::io::sink());
+                return;
+            }
             let answer = answer.to_string();
             let text = format!(
                 "HTTP/1.1 {status} -\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
@@ -97,10 +128,17 @@
             }
             ("GET", Some(name), _) => {
                 let state = lock.lock().expect("a sound lock");
-                state.object(kind, name).map_or((404, Json::Null), |object| (200, object.clone()))
+                state
+                    .object(kind, name)
+                    .map_or((404, Json::Null), |object| (200, object.clone()))
             }
             ("POST", None, _) => {
-                let name = body.get("metadata").get("name").as_text().unwrap_or("").to_owned();
+                let name = body
+                    .get("metadata")
+                    .get("name")
+                    .as_text()
+                    .unwrap_or("")
+                    .to_owned();
                 let mut state = lock.lock().expect("a sound lock");
                 if let Some(object) = state.object(kind, &name) {
                     return (409, object.clone());
@@ -203,7 +241,8 @@
             ("deletion", Json::Bool(false)),
         ]);
         let object = Json::object([("metadata", metadata), ("spec", spec), ("status", status)]);
-        self.objects.insert((kind.to_owned(), name.to_owned()), object.clone());
+        self.objects
+            .insert((kind.to_owned(), name.to_owned()), object.clone());
         self.push_event(kind, false, object.clone());
         object
     }
@@ -216,7 +255,12 @@
     }
 
     fn push_event(&mut self, kind: &str, deleted: bool, object: Json) {
-        let event = Event { revision: self.revision, kind: kind.to_owned(), deleted, object };
+        let event = Event {
+            revision: self.revision,
+            kind: kind.to_owned(),
+            deleted,
+            object,
+        };
         self.events.push(event);
     }
 
@@ -237,5 +281,7 @@
 
 fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+    pairs
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value)
 }
