--- a/review/standins/deployment.rs
+++ b/review/standins/deployment.rs
@@ -1,9 +1,11 @@
 //! A small deployment: the settings of its hosts, the operator's configuration, and the hosts as
 //! processes started with the command of the deploy file.
 
+use std::ffi::{c_int, c_ulong};
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, AtomicU16, Ordering};
@@ -249,6 +251,22 @@
     }
 }
 
+const PR_SET_PDEATHSIG: c_int = 1;
+const SIGKILL: c_ulong = 9;
+
+unsafe extern "C" {
+    fn prctl(option: c_int, value: c_ulong) -> c_int;
+}
+
+/// Lets a new process end with the one that started it, also if that is killed.
+fn end_with_parent() -> std::io::Result<()> {
+    // SAFETY: the option takes one integer.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// The command of the role `entry` in the deploy file.
 fn entry_command() -> Result<Vec<String>, String> {
     let text = fs::read_to_string("deploy/system.toml").map_err(|fault| fault.to_string())?;
@@ -287,7 +305,12 @@
         if !Path::new(&command[0]).exists() {
             return Err(format!("{} is not built", command[0]));
         }
-        let started = Command::new(&command[0])
+        let mut host = Command::new(&command[0]);
+        // SAFETY: the call only sets an attribute of the new process, without any memory of this one.
+        unsafe {
+            host.pre_exec(end_with_parent);
+        }
+        let started = host
             .args(&command[1..])
             .env("LEDGESPOOL_NODE_FILE", &file)
             .stdin(Stdio::null())
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -16,6 +16,10 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// A case that takes longer could not run. Its hosts end with it.
+const LONGEST: Duration = Duration::from_secs(118);
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().collect();
@@ -31,6 +35,11 @@
             return ExitCode::from(2);
         }
     };
+    std::thread::spawn(|| {
+        std::thread::sleep(LONGEST);
+        eprintln!("the case took too long");
+        std::process::exit(2);
+    });
     record.note(&format!("case {name}, trouble {}", u8::from(trouble)));
     let result = match name.as_str() {
         "stale-refusal" => stale_refusal::run(&record, trouble),
--- a/review/standins/stale_configuration.rs
+++ b/review/standins/stale_configuration.rs
@@ -31,10 +31,15 @@
 
 impl Work for Sheets {
     fn handle(&mut self, arrival: &Arrival<'_>, stream: &mut TcpStream) -> io::Result<bool> {
-        let running = arrival.run();
-        std::thread::sleep(WORK);
+        let Some(running) = arrival.run(stream)? else {
+            return Ok(true);
+        };
+        let answer = match arrival.work(WORK) {
+            true => arrival.signed_answer(arrival.backend.service),
+            false => arrival.deadline_answer(),
+        };
         drop(running);
-        stream.write_all(arrival.signed_answer(arrival.backend.service).as_bytes())?;
+        stream.write_all(answer.as_bytes())?;
         Ok(true)
     }
 }
