Metrics and logs: age of each view by source, and retries by service

A host's metrics told the age of its configuration, but not whether the store or another host had confirmed it, nor how long a watch had been waiting; and the retries of all services together, without the counts that allowed them.

Now: ledgespool_view_age_milliseconds by kind and source, ledgespool_watch_wait_milliseconds, retries and requests in the window by service, ledgespool_retry_hosts, and EV5033 for each allowed retry.

--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -68,6 +68,16 @@
 pub struct RetryWindow {
     step_ms: u64,
     steps: collections::VecDeque<RetryStep>,
+    allowed_total: u64,
+}
+
+/// What a window counts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetryUsage {
+    /// First attempts in the window.
+    pub requests: u64,
+    /// Retries in the window.
+    pub retries: u64,
 }
 
 /// The retries that one host may send in addition to its requests.
@@ -89,6 +99,7 @@
         Self {
             step_ms: if step == 0 { 1 } else { step },
             steps: collections::VecDeque::new(),
+            allowed_total: 0,
         }
     }
 
@@ -131,6 +142,7 @@
             return false;
         }
         self.step(now).retries += 1;
+        self.allowed_total += 1;
         true
     }
 
@@ -141,11 +153,25 @@
 
     fn allows_within(&mut self, share: &RetryShare, part: f64, now: Moment) -> bool {
         self.step(now);
-        let requests: u64 = self.steps.iter().map(|step| step.requests).sum();
-        let retries: u64 = self.steps.iter().map(|step| step.retries).sum();
+        let usage = self.usage();
         let slack = share.slack / f64::from(share.hosts.max(1));
-        let allowed = (requests as f64 * share.ratio + slack) * PLANNED_FRACTION * part;
-        retries as f64 + 1.0 <= allowed
+        let allowed = (usage.requests as f64 * share.ratio + slack) * PLANNED_FRACTION * part;
+        usage.retries as f64 + 1.0 <= allowed
+    }
+
+    /// The counts of the window that ended with the last request or retry.
+    #[must_use]
+    pub fn usage(&self) -> RetryUsage {
+        RetryUsage {
+            requests: self.steps.iter().map(|step| step.requests).sum(),
+            retries: self.steps.iter().map(|step| step.retries).sum(),
+        }
+    }
+
+    /// Retries that were allowed since the process started.
+    #[must_use]
+    pub const fn allowed_total(&self) -> u64 {
+        self.allowed_total
     }
 
     fn step(&mut self, now: Moment) -> &mut RetryStep {
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -17,6 +17,7 @@
 use super::retention_review::{self, WatchGap};
 use super::store::{ObjectKind, ObjectStore, StoreFault, StoreResult};
 use super::store_updates;
+use super::view_age::ViewSource;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::timer::Moment;
@@ -155,10 +156,12 @@
         let wait_ms = self.wait_ms();
         let call_timeout = time::Duration::from_millis(wait_ms) + WATCH_MARGIN;
         let began = self.host.now();
+        self.host.view_ages.on_watch_begun(self.kind, began);
         let call = self.store.watch(self.kind, revision, wait_ms);
         let batch = tokio::time::timeout(call_timeout, call)
             .await
             .unwrap_or(Err(StoreFault::Unreachable));
+        self.host.view_ages.on_watch_ended(self.kind);
         self.record_call("watch", began, batch.as_ref().map(|batch| batch.revision));
         let batch = batch?;
         if !batch.changes.is_empty() {
@@ -225,11 +228,8 @@
 
     fn on_answered(&mut self, call: &'static str, began: Moment, revision: Option<u64>) {
         let now = self.host.now();
-        match self.kind {
-            ObjectKind::Configuration => self.host.on_configuration_confirmed(now),
-            ObjectKind::Servers => self.host.on_servers_confirmed(now),
-            _ => {}
-        }
+        let ages = &self.host.view_ages;
+        ages.on_confirmed(self.kind, ViewSource::Store, now);
         if self.host.watch.on_call(self.kind, false) {
             self.on_found(call, began, revision);
         }
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -15,7 +15,8 @@
 use super::partial_updates::PartialUpdates;
 use super::peer_message::{self, FleetUpdate, GoneServer, PeerHeartbeat, PeerMessage, WatchState};
 use super::peers::PeerChange;
-use super::store::{ObjectChange, ObjectContent, StoredObject};
+use super::store::{ObjectChange, ObjectContent, ObjectKind, StoredObject};
+use super::view_age::ViewSource;
 use super::wire::WireProtocol;
 use super::{
     catch_up, host_gossip, join_client, limit_role, quarantine_role, server_limit_role,
@@ -344,10 +345,12 @@
 /// Records which parts of this host's state a watcher's heartbeat confirms as current.
 fn confirm_view<W: WireProtocol>(host: &EntryHost<W>, heartbeat: &PeerHeartbeat, now: Moment) {
     if heartbeat.configuration_version == host.configuration_version() {
-        host.on_configuration_confirmed(now);
+        let kind = ObjectKind::Configuration;
+        host.view_ages.on_confirmed(kind, ViewSource::Peer, now);
     }
     if heartbeat.fleet_changed <= host.fleet.borrow().revision() {
-        host.on_servers_confirmed(now);
+        let kind = ObjectKind::Servers;
+        host.view_ages.on_confirmed(kind, ViewSource::Peer, now);
     }
 }
 
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -39,10 +39,13 @@
 use super::server_limit_role::ServerLimitRole;
 use super::settings::EntrySettings;
 use super::stop::StopState;
+use super::store::ObjectKind;
 use super::urgency_role::UrgencyRole;
+use super::view_age::ViewAges;
 use super::watch_role::WatchRole;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::metrics_writer::MetricsWriter;
 use crate::placement::hall_places::HallPlaces;
 use crate::timer::{self, BootClock, Moment};
 
@@ -86,11 +89,8 @@
     last_tick: cell::Cell<Moment>,
     pub(super) run: u64,
     routes: cell::RefCell<Option<rc::Rc<RouteTable>>>,
-    /// When this host last knew that the store, or a host that watches it, has the same
-    /// configuration.
-    configuration_confirmed: cell::Cell<Option<Moment>>,
-    /// When this host last knew that the store, or a host that watches it, has the same servers.
-    servers_confirmed: cell::Cell<Option<Moment>>,
+    /// Age of this host's view of the store.
+    pub(super) view_ages: ViewAges,
     pub(super) evacuations: cell::RefCell<EvacuationList>,
     pub(super) retry_windows: cell::RefCell<collections::HashMap<String, RetryWindow>>,
     pub(super) route_times: cell::RefCell<RouteTimeTable>,
@@ -144,8 +144,7 @@
             last_tick: cell::Cell::default(),
             run,
             routes: cell::RefCell::default(),
-            configuration_confirmed: cell::Cell::default(),
-            servers_confirmed: cell::Cell::default(),
+            view_ages: ViewAges::default(),
             evacuations: cell::RefCell::default(),
             retry_windows: cell::RefCell::default(),
             route_times: cell::RefCell::default(),
@@ -198,32 +197,18 @@
             .map_or(0, |routes| routes.configuration().version)
     }
 
-    /// Records that the store, or a host that watches it, had the same configuration as this host
-    /// at `at`.
-    pub(super) fn on_configuration_confirmed(&self, at: Moment) {
-        self.configuration_confirmed.set(Some(at));
-    }
-
     /// Age of this host's view of the configuration, in milliseconds. A newer configuration may
     /// have become active elsewhere within that time. `None` before the first confirmation.
     #[must_use]
     pub fn configuration_age_ms(&self) -> Option<u64> {
-        let confirmed = self.configuration_confirmed.get();
-        confirmed.map(|confirmed| self.now().since(confirmed))
-    }
-
-    /// Records that the store, or a host that watches it, had the same servers as this host at
-    /// `at`.
-    pub(super) fn on_servers_confirmed(&self, at: Moment) {
-        self.servers_confirmed.set(Some(at));
+        self.view_ages.age_ms(ObjectKind::Configuration, self.now())
     }
 
     /// Age of this host's view of the servers, in milliseconds. A server may have begun to leave
     /// within that time. `None` before the first confirmation.
     #[must_use]
     pub fn servers_age_ms(&self) -> Option<u64> {
-        let confirmed = self.servers_confirmed.get();
-        confirmed.map(|confirmed| self.now().since(confirmed))
+        self.view_ages.age_ms(ObjectKind::Servers, self.now())
     }
 
     /// Activates a configuration unless the active one is at least as new.
@@ -326,7 +311,11 @@
             log_suppressed: loss.left_out,
             log_dropped: loss.dropped,
         };
-        self.metrics.borrow().page(&current)
+        let mut page = MetricsWriter::default();
+        self.metrics.borrow().write_to(&mut page, &current);
+        self.view_ages.write_to(&mut page, now);
+        self.write_retries(&mut page);
+        page.into_text()
     }
 
     fn count_servers(&self, is_counted: impl Fn(&FleetServer) -> bool) -> usize {
--- a/src/entry/host_budget.rs
+++ b/src/entry/host_budget.rs
@@ -1,10 +1,15 @@
 //! This host's own shares of the [budgets](super::budget) that all hosts share.
 
+use serde_json::json;
+
 use super::budget::{ColdShare, RetryShare, RetryWindow};
+use super::decision_log::LogPriority;
 use super::hash;
 use super::host::EntryHost;
 use super::open_request::OpenRequest;
 use super::wire::WireProtocol;
+use crate::event::EventCode;
+use crate::metrics_writer::MetricsWriter;
 use crate::urgency::classes::UrgencyClass;
 
 /// Part of the retry budget that is kept for the most urgent routes of a service and for requests
@@ -41,6 +46,9 @@
             (allowed, !allowed && window.allows(&share, now))
         });
         open.retry_denied.set(!allowed);
+        if allowed {
+            self.log_retry(open, &share);
+        }
         let mut metrics = self.metrics.borrow_mut();
         if allowed {
             metrics.retries += 1;
@@ -51,6 +59,34 @@
         allowed
     }
 
+    /// Logs an allowed retry with the counts that it rests on.
+    fn log_retry(&self, open: &OpenRequest, share: &RetryShare) {
+        let usage = self.with_retries(&open.service, |window| window.usage());
+        let fields = json!({
+            "id": open.forward.id,
+            "service": open.service,
+            "requests": usage.requests,
+            "retries": usage.retries,
+            "hosts": share.hosts,
+        });
+        let priority = LogPriority::Ordinary;
+        self.log.write(EventCode::RetryAllowed, priority, fields);
+    }
+
+    /// Writes the retries of each service beside the counts that allowed them.
+    pub(super) fn write_retries(&self, page: &mut MetricsWriter) {
+        let hosts = u64::from(self.peers.borrow().host_count());
+        for (service, window) in self.retry_windows.borrow().iter() {
+            let labels = [("service", service.as_str())];
+            let usage = window.usage();
+            page.labelled("ledgespool_retry_window_requests", &labels, usage.requests);
+            page.labelled("ledgespool_retry_window_retries", &labels, usage.retries);
+            let allowed_total = window.allowed_total();
+            page.labelled("ledgespool_service_retries_total", &labels, allowed_total);
+        }
+        page.value("ledgespool_retry_hosts", hosts);
+    }
+
     /// The part of the retry budget that the request may use. The last part is kept for urgent
     /// requests, and for those that may run only once, since their callers may not repeat them
     /// after a failure.
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -78,7 +78,7 @@
 }
 
 /// All counters and histograms of a process. A module with counters of its own keeps them in a
-/// struct with a `write_to`, which is a field here and takes one line in [`EntryMetrics::page`].
+/// struct with a `write_to`, which is a field here and takes one line in [`EntryMetrics::write_to`].
 #[derive(Debug, Default)]
 pub struct EntryMetrics {
     /// Callers' requests.
@@ -198,16 +198,21 @@
     #[must_use]
     pub fn page(&self, current: &CurrentFigures) -> String {
         let mut page = MetricsWriter::default();
-        self.requests.write_to(&mut page);
-        self.write_calls(&mut page);
-        current.write_ages(&mut page);
+        self.write_to(&mut page, current);
+        page.into_text()
+    }
+
+    /// Writes all figures to a page.
+    pub fn write_to(&self, page: &mut MetricsWriter, current: &CurrentFigures) {
+        self.requests.write_to(page);
+        self.write_calls(page);
+        current.write_ages(page);
         for (name, value) in self.unlabelled(current) {
             page.value(name, value);
         }
-        self.urgency.write_to(&mut page, current.waiting);
-        self.departures.write_to(&mut page);
-        self.load.write_to(&mut page);
-        page.into_text()
+        self.urgency.write_to(page, current.waiting);
+        self.departures.write_to(page);
+        self.load.write_to(page);
     }
 
     fn write_calls(&self, page: &mut MetricsWriter) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -101,5 +101,6 @@
 mod store_updates;
 pub mod update_fragment;
 pub mod urgency_role;
+pub mod view_age;
 pub mod watch_role;
 pub mod wire;
--- a/src/event.rs
+++ b/src/event.rs
@@ -108,6 +108,7 @@
     RequestHandedOver = 5030, Info, "A request was answered by way of another host, since this one reaches no server of its service.";
     HandoffFailed = 5031, Warn, "A request was handed over to another host, which did not answer it.";
     WorkAfterDeparture = 5032, Warn, "A request was worked on to its end although its caller had left.";
+    RetryAllowed = 5033, Info, "A request is sent to another server within the retry budget of its service.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
