Watchers ask the store in turn, and a late watch is checked

What callers saw: a change made 1.6 s after a silence of the store of 0.5 s was not in force for 4 s. Requests ran on the old service, in regions that were no homes, and an added route was answered 404.

Cause: after a change all watchers of all regions begin their next watch at the same moment. A silence swallows all of these calls while their connections stay open; each host took its call for one that waits, for 6 s, and nobody else calls the store. Class: a view counted as current because one call had not failed yet. It holds for every kind that is followed.

Change: the waits of the watchers end one after the other, in slots of the time of day; a watch that is not answered at its end, or that another host's newer state shows to be late, is asked again without giving it up; who finds changes tells the other regions' watchers.

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -14,7 +14,7 @@
 use super::host_gossip;
 use super::peer_message::{self, FleetUpdate, JoinAnswer, PeerHeartbeat, PeerSnapshot};
 use super::quarantine::message::SuspectRecord;
-use super::store::StoredObject;
+use super::store::{ObjectKind, StoredObject};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::http_client;
@@ -64,6 +64,15 @@
         }
     }
 
+    /// The kind of object whose watch is late while this state is missing.
+    const fn watched(self) -> Option<ObjectKind> {
+        match self {
+            Self::Configuration => Some(ObjectKind::Configuration),
+            Self::Servers => Some(ObjectKind::Servers),
+            Self::Quarantine => None,
+        }
+    }
+
     /// How long to wait for an update in transit before fetching it, in milliseconds.
     const fn delay_ms(self) -> u64 {
         match self {
@@ -115,8 +124,13 @@
     source: net::SocketAddr,
 ) {
     let jitter_ms = host.random.borrow_mut().random_range(0..JITTER_MS);
-    let wait = time::Duration::from_millis(jitter_ms + kind.delay_ms());
-    tokio::time::sleep(wait).await;
+    tokio::time::sleep(time::Duration::from_millis(jitter_ms)).await;
+    if let Some(watched) = kind.watched()
+        && kind.is_missing(&host, &heartbeat)
+    {
+        host.watch.on_outdated(watched);
+    }
+    tokio::time::sleep(time::Duration::from_millis(kind.delay_ms())).await;
     if kind.is_missing(&host, &heartbeat) {
         fetch_hedged(&host, kind, source).await;
     }
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -13,11 +13,13 @@
 use serde_json::json;
 
 use super::expiry_retention::ReturnObservation;
+use super::gossip;
 use super::host::EntryHost;
 use super::retention_review::{self, WatchGap};
-use super::store::{ObjectKind, ObjectStore, StoreFault, StoreResult};
+use super::store::{ChangeBatch, ObjectKind, ObjectStore, StoreFault, StoreResult};
 use super::store_updates;
 use super::view_age::ViewSource;
+use super::watch_schedule;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::timer::Moment;
@@ -25,24 +27,17 @@
 /// Timeout of a call that does not wait for changes. Ordinary answers take 4 ms, those of a slow
 /// store some hundred.
 pub(super) const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-/// How long a watch waits for a change, in milliseconds. A watch that hangs is detected when this
-/// time is over, so it bounds the age of the view. Each new watch is another call.
-const WATCH_WAIT_MS: u64 = 5_000;
-/// How long a watch of the hosts waits, in milliseconds. Hosts also learn of each other by
-/// heartbeats, so fewer calls suffice.
-const HOSTS_WATCH_WAIT_MS: u64 = 25_000;
-/// The wait of a watch after a failed call, in milliseconds. It asks for an immediate answer, so
-/// that the store's return is noticed with the first answered call rather than with the next
-/// change. When the return was noticed with the next change, the retention of expired entries began
-/// up to 5 s late, and servers that had left got work for up to 2.23 s.
-const RETURN_WAIT_MS: u64 = 0;
+/// The wait of a watch that asks for an immediate answer, in milliseconds. After a failed call the
+/// store's return is noticed with the first answered call rather than with the next change.
+const NO_WAIT_MS: u64 = 0;
+/// The label of a call that is made because a watch is late.
+const CHECK_CALL: &str = "check";
 /// The store's return was noticed in time if a failed call began at most this long ago, in
 /// milliseconds: a call that does not wait is given up after 1 s, a pause of 0.8 s follows, and the
-/// next answer may be slow. A watch that hangs is given up after 3 s by probes, or after 6 s;
-/// servers missing after that may have left since the store returned.
+/// next answer may be slow. Servers missing after that may have left since the store returned.
 const RETURN_OBSERVED_MS: u64 = 2_500;
-/// How much later than its wait a watch may be answered.
-const WATCH_MARGIN: time::Duration = time::Duration::from_secs(1);
+/// How long the answer to a call that does not wait for changes may take.
+const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(watch_schedule::CHECK_TIMEOUT_MS);
 /// The pause after the first failure, in milliseconds; each further failure doubles it.
 pub(super) const MIN_BACKOFF_MS: u64 = 100;
 /// The longest pause after a failure, in milliseconds.
@@ -68,6 +63,15 @@
     }
 }
 
+/// The answer to a watch, or to the call that replaces it.
+struct WatchAnswer {
+    /// The label of the answered call in logs and metrics.
+    call: &'static str,
+    /// When that call began.
+    began: Moment,
+    batch: StoreResult<ChangeBatch>,
+}
+
 /// Follows one kind of object.
 struct KindFollower<W, S> {
     host: rc::Rc<EntryHost<W>>,
@@ -153,19 +157,21 @@
     }
 
     async fn watch(&mut self, revision: u64) -> StoreResult<u64> {
-        let wait_ms = self.wait_ms();
-        let call_timeout = time::Duration::from_millis(wait_ms) + WATCH_MARGIN;
         let began = self.host.now();
         self.host.view_ages.on_watch_begun(self.kind, began);
-        let call = self.store.watch(self.kind, revision, wait_ms);
-        let batch = tokio::time::timeout(call_timeout, call)
-            .await
-            .unwrap_or(Err(StoreFault::Unreachable));
+        let WatchAnswer { call, began, batch } = if self.host.watch.is_lost(self.kind) {
+            self.ask(revision, "watch").await
+        } else {
+            self.wait_for_change(revision, began).await
+        };
         self.host.view_ages.on_watch_ended(self.kind);
-        self.record_call("watch", began, batch.as_ref().map(|batch| batch.revision));
+        self.record_call(call, began, batch.as_ref().map(|batch| batch.revision));
         let batch = batch?;
         if !batch.changes.is_empty() {
             store_updates::on_changes(&self.host, self.kind, &batch);
+            if call == CHECK_CALL {
+                gossip::announce_to_watchers(&self.host);
+            }
             self.review_retention(batch.revision);
             // Changes come in groups; receiving a group at once saves calls.
             tokio::time::sleep(BATCH_PAUSE).await;
@@ -176,15 +182,55 @@
         Ok(batch.revision.max(revision))
     }
 
-    /// How long a watch may wait for a change, in milliseconds.
-    fn wait_ms(&self) -> u64 {
-        match self.kind {
-            _ if self.host.watch.is_lost(self.kind) => RETURN_WAIT_MS,
-            ObjectKind::Hosts => HOSTS_WATCH_WAIT_MS,
-            _ => WATCH_WAIT_MS,
+    /// Waits for a change. A watch that is not answered when its wait is over, or that another
+    /// host's newer state shows to be late, may never be answered: the store is asked again, and
+    /// the first answer counts.
+    async fn wait_for_change(&self, revision: u64, began: Moment) -> WatchAnswer {
+        let wait_ms = self.host.watch_wait_ms(self.kind);
+        let mut watch = std::pin::pin!(self.store.watch(self.kind, revision, wait_ms));
+        let due = time::Duration::from_millis(wait_ms + watch_schedule::MAX_LATENESS_MS);
+        let of_watch = |batch| WatchAnswer {
+            call: "watch",
+            began,
+            batch,
+        };
+        tokio::select! {
+            batch = watch.as_mut() => return of_watch(batch),
+            () = tokio::time::sleep(due) => {}
+            () = self.host.watch.until_outdated(self.kind) => {}
+        }
+        let answer = tokio::select! {
+            Ok(batch) = watch => of_watch(Ok(batch)),
+            answer = self.ask(revision, CHECK_CALL) => answer,
+        };
+        self.log_overdue(began, &answer);
+        answer
+    }
+
+    /// Asks for the changes so far without waiting for one.
+    async fn ask(&self, revision: u64, call: &'static str) -> WatchAnswer {
+        let began = self.host.now();
+        let asked = self.store.watch(self.kind, revision, NO_WAIT_MS);
+        let batch = tokio::time::timeout(CHECK_TIMEOUT, asked).await;
+        WatchAnswer {
+            call,
+            began,
+            batch: batch.unwrap_or(Err(StoreFault::Unreachable)),
         }
     }
 
+    fn log_overdue(&self, began: Moment, answer: &WatchAnswer) {
+        let batch = answer.batch.as_ref();
+        let fields = json!({
+            "kind": self.kind.as_str(),
+            "watch_ms": self.host.now().since(began),
+            "answered": answer.call,
+            "result": result_label(batch.map(|batch| batch.revision)),
+            "changes": batch.map_or(0, |batch| batch.changes.len()),
+        });
+        self.host.log_event(EventCode::WatchOverdue, fields);
+    }
+
     /// Counts a call that began at `began`, and logs when the store is lost or found again.
     /// `result` is the store revision in the answer.
     fn record_call(&mut self, call: &'static str, began: Moment, result: Result<u64, &StoreFault>) {
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -90,6 +90,15 @@
     );
 }
 
+/// Announces this host's state to the hosts that probably watch the store for the other regions. A
+/// silence of the store that this host has noticed may have swallowed their watches as well.
+pub(super) fn announce_to_watchers<W: WireProtocol>(host: &EntryHost<W>) {
+    let region = &host.settings().region;
+    let targets = host.peers.borrow().relay_targets(region, host.now());
+    let heartbeat = host.heartbeat(true).for_other_regions();
+    send(host, &PeerMessage::Heartbeat(Box::new(heartbeat)), &targets);
+}
+
 /// Announces a fetched configuration further if the region is too large for the first announcement.
 pub fn forward_configuration_announcement<W: WireProtocol>(host: &EntryHost<W>) {
     let must_forward_announcement = host
@@ -332,6 +341,7 @@
     if heartbeat.evacuation_changed > host.evacuation_revision() {
         let halls = heartbeat.evacuated.iter().cloned().collect();
         host.on_evacuation_list(halls, heartbeat.evacuation_changed);
+        host.watch.on_outdated(ObjectKind::Evacuations);
     }
     host.on_limit_updates(&heartbeat.server_limits, Some(source));
     host.on_leaving_report(&heartbeat.leaving_servers, &heartbeat.host);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -103,4 +103,5 @@
 pub mod urgency_role;
 pub mod view_age;
 pub mod watch_role;
+pub mod watch_schedule;
 pub mod wire;
--- a/src/entry/peers/watchers.rs
+++ b/src/entry/peers/watchers.rs
@@ -10,6 +10,7 @@
 use super::{HostRecord, PeerTable, REMOVE_TIMEOUT_MS};
 use crate::entry::hash;
 use crate::entry::peer_message::WatchState;
+use crate::entry::watch_schedule::WatchSlot;
 use crate::timer::Moment;
 
 /// Hosts of a region that watch the store. The second one covers changes that the first misses.
@@ -24,6 +25,26 @@
     /// rank before it that may be alive and do not report that they cannot reach the store.
     #[must_use]
     pub fn is_watcher(&self, own: &HostRecord, now: Moment) -> bool {
+        let before = self.hosts_before(own, now);
+        before.able < WATCHERS_PER_REGION && before.unable + before.able < MAX_WATCHERS_PER_REGION
+    }
+
+    /// The position of `own` among the watchers of all regions that have live hosts. The regions
+    /// take turns, so that watchers of one region ask at different times.
+    #[must_use]
+    pub fn watch_slot(&self, own: &HostRecord, now: Moment) -> WatchSlot {
+        let rank = self.hosts_before(own, now).able % WATCHERS_PER_REGION;
+        let mut regions = self.other_live_regions(&own.region, now);
+        regions.insert(&own.region);
+        let region = regions.range(..own.region.as_str()).count();
+        WatchSlot {
+            index: (rank * regions.len() + region) as u64,
+            count: (WATCHERS_PER_REGION * regions.len()) as u64,
+        }
+    }
+
+    /// Counts the hosts of the region of `own` that rank before it.
+    fn hosts_before(&self, own: &HostRecord, now: Moment) -> HostsBefore {
         let timeout_ms = self.timeout_ms(&own.region);
         let before = self.in_region(&own.region).filter(|peer| {
             peer.record.watcher_rank() < own.watcher_rank()
@@ -32,10 +53,22 @@
         });
         let (unable, able): (Vec<_>, Vec<_>) =
             before.partition(|peer| peer.watch == WatchState::Blind);
-        able.len() < WATCHERS_PER_REGION && unable.len() + able.len() < MAX_WATCHERS_PER_REGION
+        HostsBefore {
+            able: able.len(),
+            unable: unable.len(),
+        }
     }
 }
 
+/// Hosts of a region that rank before another.
+#[derive(Debug, Clone, Copy)]
+struct HostsBefore {
+    /// Those that do not report that they cannot reach the store.
+    able: usize,
+    /// Those that report it.
+    unable: usize,
+}
+
 impl PeerTable {
     /// Whether `own` ranks before all live hosts of its region and thus does the region's cleanup.
     #[must_use]
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -131,6 +131,10 @@
     /// The shortest time for which a leaving server serves after the store has received its
     /// announcement.
     pub leave_time: time::Duration,
+    /// The time in which a new configuration must be in force on all hosts.
+    pub configuration_time: time::Duration,
+    /// The time in which an evacuated hall must get no more requests.
+    pub evacuation_time: time::Duration,
     /// The longest time for which a lookup answer may be valid.
     pub time_to_live_max: time::Duration,
     /// Retries as a share of all requests.
@@ -225,6 +229,8 @@
     const STOP_GRACE: time::Duration = time::Duration::from_secs(5);
     const LEAVE_TIME: time::Duration =
         time::Duration::from_millis(expiry_retention::DEFAULT_LEAVE_TIME_MS);
+    const CONFIGURATION_TIME: time::Duration = time::Duration::from_secs(2);
+    const EVACUATION_TIME: time::Duration = time::Duration::from_secs(5);
     const TIME_TO_LIVE: time::Duration = time::Duration::from_secs(5);
     const RETRY_WINDOW: time::Duration = time::Duration::from_secs(10);
     const RETRY_RATIO: f64 = 0.1;
@@ -232,6 +238,12 @@
     SharedBounds {
         stop_grace: reader.optional_duration("stop_grace").unwrap_or(STOP_GRACE),
         leave_time: reader.optional_duration("leave_time").unwrap_or(LEAVE_TIME),
+        configuration_time: reader
+            .optional_duration("configuration_time")
+            .unwrap_or(CONFIGURATION_TIME),
+        evacuation_time: reader
+            .optional_duration("evacuation_time")
+            .unwrap_or(EVACUATION_TIME),
         time_to_live_max: reader
             .optional_duration("time_to_live_max")
             .unwrap_or(TIME_TO_LIVE),
--- a/src/entry/watch_role.rs
+++ b/src/entry/watch_role.rs
@@ -9,8 +9,10 @@
 use super::host::EntryHost;
 use super::peer_message::WatchState;
 use super::store::ObjectKind;
+use super::watch_schedule::WatchLimits;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::timer;
 
 /// On the first start of the whole system, hosts that are not seeds leave the store to the seeds
 /// for this long and ask them, in milliseconds. There are no callers yet, but many hosts start at
@@ -43,6 +45,25 @@
     pub until: u64,
 }
 
+/// Signals for the kinds whose changes heartbeats announce.
+#[derive(Debug, Default)]
+struct OutdatedSignals {
+    configuration: Notify,
+    servers: Notify,
+    evacuations: Notify,
+}
+
+impl OutdatedSignals {
+    const fn of(&self, kind: ObjectKind) -> Option<&Notify> {
+        match kind {
+            ObjectKind::Configuration => Some(&self.configuration),
+            ObjectKind::Servers => Some(&self.servers),
+            ObjectKind::Evacuations => Some(&self.evacuations),
+            ObjectKind::Rollouts | ObjectKind::Hosts | ObjectKind::Quarantine => None,
+        }
+    }
+}
+
 /// Whether a host watches the store, and the kinds that it cannot read now.
 #[derive(Debug, Default)]
 pub struct WatchRole {
@@ -52,6 +73,8 @@
     lost: cell::RefCell<collections::HashSet<ObjectKind>>,
     /// What this host has read of the servers' history since the last failed call.
     servers_followed: cell::Cell<Option<FollowedSpan>>,
+    /// Wakes watches that another host's newer state shows to be late.
+    outdated: OutdatedSignals,
     /// The position of this host in the random order in which hosts list the store, from 0 to 1.
     jitter: cell::OnceCell<f64>,
 }
@@ -82,6 +105,22 @@
         self.is_watching.get()
     }
 
+    /// Another host has read a change of `kind` that this host's watch has not reported.
+    pub(super) fn on_outdated(&self, kind: ObjectKind) {
+        if let Some(signal) = self.outdated.of(kind) {
+            // Only a watch that waits now is late.
+            signal.notify_waiters();
+        }
+    }
+
+    /// Waits until another host shows that this host's view of `kind` is outdated.
+    pub(super) async fn until_outdated(&self, kind: ObjectKind) {
+        match self.outdated.of(kind) {
+            Some(signal) => signal.notified().await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// A number from 0 to 1 that is sampled once.
     fn jitter(&self, sample: impl FnOnce() -> f64) -> f64 {
         *self.jitter.get_or_init(sample)
@@ -182,6 +221,13 @@
         peers.is_watcher(&self.record(), self.now())
     }
 
+    /// How long a watch of `kind` waits that begins now, in milliseconds.
+    pub(super) fn watch_wait_ms(&self, kind: ObjectKind) -> u64 {
+        let slot = self.peers.borrow().watch_slot(&self.record(), self.now());
+        let limits = WatchLimits::of_kind(kind, &self.settings().bounds);
+        slot.wait_until_slot_ms(slot.interval_ms(limits), timer::unix_millis())
+    }
+
     /// Starts or stops watching the store, as this host's role requires now.
     pub(super) fn update_watch_role(&self) {
         let is_due = self.is_watcher();
