Retries are earned, and only a part of a window's budget can be saved

Cause: each process counted requests and retries over its own window and could use the budget of a whole window at once. A process that starts again, or a host to which callers move, has a window of its own, so the same requests' budget was used twice. Class: a limit for the sum of all hosts, kept by each host's memory of its own past.

Change: a host earns 0.6 of its budget with requests and time, and saves at most 0.25 of a window's; a new process has saved nothing. Why it holds: whatever ends, starts or moves, the sum in a window is what all hosts earn in it and what all had saved before, 0.85 of the budget; the rest is for retries that arrive later than they were sent.

--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -10,12 +10,19 @@
 use super::hash;
 use crate::timer::Moment;
 
-/// The fraction of a shared limit that the hosts plan with; the rest covers requests that are
-/// counted later than they were sent.
+/// The fraction of a cold server's limit that the hosts plan with; the rest covers requests that
+/// are counted later than they were sent.
 const PLANNED_FRACTION: f64 = 0.8;
 /// Length of the window in which requests to a cold server are counted, in milliseconds. It is
 /// longer than the second that the limit applies to, because requests can bunch up on their way.
 const COLD_WINDOW_MS: u64 = 1_150;
+/// The fraction of the retry budget that is earned with requests and time.
+const EARNED_FRACTION: f64 = 0.6;
+/// The fraction of a window's retry budget that can be saved. The sum of both fractions is below 1
+/// because retries that are delayed on their way arrive together with later ones.
+const SAVED_FRACTION: f64 = 0.25;
+/// The same while it is worth less than one retry. With [`EARNED_FRACTION`] it makes a whole.
+const SINGLE_RETRY_FRACTION: f64 = 1.0 - EARNED_FRACTION;
 /// Number of steps that the retry window is divided into.
 const RETRY_STEPS: u64 = 20;
 
@@ -63,11 +70,21 @@
     retries: u64,
 }
 
-/// Counts the requests to a service and their retries, over a sliding window.
+/// The retries that one host may send to a service.
+///
+/// The budget holds for the sum of all hosts in any window, while processes end and start again and
+/// callers move from host to host. So a host must not save up a whole window's retries: another
+/// process, which does not know of them, may get the callers next. Retries are earned with each
+/// request and each moment, and only a part of a window's budget can be saved. In any window all
+/// hosts together then send at most what is earned in it, and what was saved before.
 #[derive(Debug)]
 pub struct RetryWindow {
     step_ms: u64,
     steps: collections::VecDeque<RetryStep>,
+    /// Retries that were earned and not used.
+    saved: f64,
+    /// When retries were last earned.
+    earned_at: Moment,
     allowed_total: u64,
 }
 
@@ -91,21 +108,33 @@
     pub hosts: u32,
 }
 
+impl RetryShare {
+    /// This host's part of the slack.
+    fn own_slack(&self) -> f64 {
+        self.slack / f64::from(self.hosts.max(1))
+    }
+}
+
 impl RetryWindow {
-    /// An empty window of `window_ms`.
+    /// A window of `window_ms` in a process that has just started. Nothing is saved, since an earlier
+    /// process may have used it.
     #[must_use]
     pub const fn with_length(window_ms: u64) -> Self {
         let step = window_ms / RETRY_STEPS;
         Self {
             step_ms: if step == 0 { 1 } else { step },
             steps: collections::VecDeque::new(),
+            saved: 0.0,
+            earned_at: Moment(0),
             allowed_total: 0,
         }
     }
 
     /// Counts the first attempt to send a request.
-    pub fn on_request(&mut self, now: Moment) {
+    pub fn on_request(&mut self, share: &RetryShare, now: Moment) {
+        self.earn_slack(share, now);
         self.step(now).requests += 1;
+        self.save(EARNED_FRACTION * share.ratio, share);
     }
 
     /// Counts one retry if the share allows it; returns whether it does.
@@ -116,8 +145,8 @@
     /// let share = budget::RetryShare { ratio: 0.2, slack: 0.0, hosts: 9 };
     /// let mut window = budget::RetryWindow::with_length(10_000);
     /// assert!(!window.try_retry(&share, Moment(0)));
-    /// for _ in 0..10 {
-    ///     window.on_request(Moment(1));
+    /// for _ in 0..20 {
+    ///     window.on_request(&share, Moment(1));
     /// }
     /// assert!(window.try_retry(&share, Moment(2)));
     /// ```
@@ -125,22 +154,25 @@
         self.try_retry_within(share, 1.0, now)
     }
 
-    /// Counts one retry if less than `part` of the share is used; returns whether it is. With a
-    /// part below 1, the rest is kept for other retries.
+    /// Counts one retry if more than the other part of what can be saved is left; returns whether it
+    /// is. With a part below 1, the rest is kept for other retries.
     ///
     /// ```
     /// use ledgespool::entry::budget;
     /// use ledgespool::timer::Moment;
-    /// let share = budget::RetryShare { ratio: 0.0, slack: 2.5, hosts: 1 };
+    /// let share = budget::RetryShare { ratio: 0.0, slack: 16.0, hosts: 1 };
     /// let mut window = budget::RetryWindow::with_length(10_000);
-    /// assert!(window.try_retry_within(&share, 0.5, Moment(0)));
-    /// assert!(!window.try_retry_within(&share, 0.5, Moment(1)));
-    /// assert!(window.try_retry(&share, Moment(2)));
+    /// let now = Moment(20_000);
+    /// assert!(window.try_retry_within(&share, 0.5, now));
+    /// assert!(window.try_retry_within(&share, 0.5, now));
+    /// assert!(!window.try_retry_within(&share, 0.5, now));
+    /// assert!(window.try_retry(&share, now));
     /// ```
     pub fn try_retry_within(&mut self, share: &RetryShare, part: f64, now: Moment) -> bool {
         if !self.allows_within(share, part, now) {
             return false;
         }
+        self.saved -= 1.0;
         self.step(now).retries += 1;
         self.allowed_total += 1;
         true
@@ -152,11 +184,34 @@
     }
 
     fn allows_within(&mut self, share: &RetryShare, part: f64, now: Moment) -> bool {
+        self.earn_slack(share, now);
+        let limit = self.save_limit(share);
+        // Where little can be saved, the kept part must not exceed what one retry leaves.
+        let kept = ((1.0 - part) * limit).min((limit - 1.0).max(0.0));
+        self.saved >= 1.0 + kept
+    }
+
+    /// Earns the part of the slack for the time since the last request or retry.
+    fn earn_slack(&mut self, share: &RetryShare, now: Moment) {
         self.step(now);
-        let usage = self.usage();
-        let slack = share.slack / f64::from(share.hosts.max(1));
-        let allowed = (usage.requests as f64 * share.ratio + slack) * PLANNED_FRACTION * part;
-        usage.retries as f64 + 1.0 <= allowed
+        let window_ms = (self.step_ms * RETRY_STEPS) as f64;
+        let elapsed_ms = now.since(self.earned_at) as f64;
+        self.earned_at = self.earned_at.max(now);
+        let earned = EARNED_FRACTION * share.own_slack() * elapsed_ms / window_ms;
+        self.save(earned, share);
+    }
+
+    fn save(&mut self, earned: f64, share: &RetryShare) {
+        self.saved = (self.saved + earned).min(self.save_limit(share));
+    }
+
+    /// The most retries that can be saved. A host with few requests saves one retry if its budget of
+    /// a window allows that.
+    fn save_limit(&self, share: &RetryShare) -> f64 {
+        let requests = self.usage().requests as f64;
+        let budget = requests * share.ratio + share.own_slack();
+        let single = (budget * SINGLE_RETRY_FRACTION).min(1.0);
+        (budget * SAVED_FRACTION).max(single)
     }
 
     /// The counts of the window that ended with the last request or retry.
--- a/src/entry/host_budget.rs
+++ b/src/entry/host_budget.rs
@@ -32,8 +32,8 @@
 
     /// Counts the first attempt to send a request to `service`.
     pub fn on_first_attempt(&self, service: &str) {
-        let now = self.now();
-        self.with_retries(service, |window| window.on_request(now));
+        let (share, now) = (self.retry_share(), self.now());
+        self.with_retries(service, |window| window.on_request(&share, now));
     }
 
     /// Takes one retry from the budget of the request's service; returns whether it is allowed.
