A request that was given up is discarded with its connection

What callers and servers saw: a request that was written into a partition and answered 504 at its deadline is run by the server when the path works again.

Cause: a closed connection goes on sending bytes that its peer has not acknowledged. Class: an abandoned send is not withdrawn.

Change: closing a connection to a server, another host or the store resets it and discards its unacknowledged bytes. These connections are closed only after their last answer was read or is no longer wanted.

given_up_sends.rs failed before (the server ran "given-up" after the partition), and passes.

--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 
 use super::fleet_server::FleetServer;
+use crate::tcp_close;
 use crate::tcp_keepalive::{self, ProbeStart};
 use crate::timer::Moment;
 
@@ -164,5 +165,6 @@
     let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
     tcp_keepalive::enable(&stream, ProbeStart::Late)?;
+    tcp_close::discard_unsent(&stream)?;
     Ok(stream)
 }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
+use crate::tcp_close;
 use crate::tcp_keepalive::{self, ProbeStart};
 
 /// The largest response head, in bytes.
@@ -51,6 +52,7 @@
         let stream = tokio::net::TcpStream::connect(address).await.ok()?;
         stream.set_nodelay(true).ok()?;
         tcp_keepalive::enable(&stream, probes).ok()?;
+        tcp_close::discard_unsent(&stream).ok()?;
         let builder = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .to_owned();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod source;
 pub mod standin;
 pub mod steering;
+pub mod tcp_close;
 pub mod tcp_keepalive;
 pub mod timeline;
 pub mod timer;
