A host that finds none of its seeds gets no slack of the retry budget

Cause: a host that starts while it is cut off from all others takes its membership for complete after a time, counts one host, and has the whole slack beside the others' shares.

The new test fails with host_count() in the place of retry_host_count(), and passes.

--- a/src/entry/host_budget.rs
+++ b/src/entry/host_budget.rs
@@ -75,7 +75,7 @@
 
     /// Writes the retries of each service beside the counts that allowed them.
     pub(super) fn write_retries(&self, page: &mut MetricsWriter) {
-        let hosts = u64::from(self.peers.borrow().host_count());
+        let hosts = u64::from(self.peers.borrow().retry_host_count());
         for (service, window) in self.retry_windows.borrow().iter() {
             let labels = [("service", service.as_str())];
             let usage = window.usage();
@@ -103,7 +103,7 @@
         RetryShare {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
-            hosts: self.peers.borrow().host_count(),
+            hosts: self.peers.borrow().retry_host_count(),
         }
     }
 
--- a/src/entry/peers/region_size.rs
+++ b/src/entry/peers/region_size.rs
@@ -47,6 +47,16 @@
         self.known_count().saturating_add(unknown)
     }
 
+    /// Number of hosts that share the slack of the retry budget, this one included. A host that
+    /// finds none of its seeds is probably cut off from hosts that use their shares.
+    #[must_use]
+    pub fn retry_host_count(&self) -> u32 {
+        if self.may_have_peers && self.is_empty() {
+            return UNKNOWN_HOST_COUNT;
+        }
+        self.host_count()
+    }
+
     /// Number of hosts in each region: the known hosts, this one included, or the recently reported
     /// number if that is larger. Objects are assigned to regions by these sizes, so hosts have to
     /// agree on them. When each host used only its own view, 383 of 3,170 objects were sent to two
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -486,3 +486,21 @@
     peers.on_removed("b", 7);
     assert_eq!(peers.run_of("b"), 0);
 }
+
+/// A host that starts while it is cut off from all others takes the whole slack of the retry budget,
+/// beside the others' shares, once its search for hosts has timed out.
+#[test]
+fn a_host_that_finds_none_of_its_seeds_takes_no_fixed_share_of_the_retry_budget() {
+    let mut peers = PeerTable::default();
+    peers.on_other_seeds();
+    peers.on_membership_complete();
+    let share = RetryShare {
+        ratio: 0.2,
+        slack: 174.0,
+        hosts: peers.retry_host_count(),
+    };
+    let mut window = RetryWindow::with_length(10_000);
+    assert!(!window.try_retry(&share, Moment(20_000)));
+    peers.on_record(&host("b", "one", 200), Moment(20_000));
+    assert_eq!(peers.retry_host_count(), 2);
+}
