A process that starts has the slack of one second

Callers of a restarted host saw 502 and 503 that a retry avoids.

Change: a process is credited with the part of the slack of one second, and time counts from its start even if the number of hosts is known later. Each further start of all hosts in a window adds 0.06 of the slack; the sum stays below the budget up to the second start however few requests there are.

--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -23,6 +23,11 @@
 const SAVED_FRACTION: f64 = 0.25;
 /// The same while it is worth less than one retry. With [`EARNED_FRACTION`] it makes a whole.
 const SINGLE_RETRY_FRACTION: f64 = 1.0 - EARNED_FRACTION;
+/// The time whose part of the slack a process has when it starts, in milliseconds, so that its first
+/// requests can be retried. Each further start in a window adds 0.06 of the slack.
+const START_CREDIT_MS: u64 = 1_000;
+/// A host with less than this of the slack does not know the number of hosts.
+const MIN_OWN_SLACK: f64 = 1e-3;
 /// Number of steps that the retry window is divided into.
 const RETRY_STEPS: u64 = 20;
 
@@ -83,8 +88,8 @@
     steps: collections::VecDeque<RetryStep>,
     /// Retries that were earned and not used.
     saved: f64,
-    /// When retries were last earned.
-    earned_at: Moment,
+    /// Until when retries were earned with time; `None` before the first time.
+    earned_at: Option<Moment>,
     allowed_total: u64,
 }
 
@@ -116,8 +121,8 @@
 }
 
 impl RetryWindow {
-    /// A window of `window_ms` in a process that has just started. Nothing is saved, since an earlier
-    /// process may have used it.
+    /// A window of `window_ms` in a process that started at `Moment(0)`. Nothing is saved, since an
+    /// earlier process may have used it.
     #[must_use]
     pub const fn with_length(window_ms: u64) -> Self {
         let step = window_ms / RETRY_STEPS;
@@ -125,7 +130,7 @@
             step_ms: if step == 0 { 1 } else { step },
             steps: collections::VecDeque::new(),
             saved: 0.0,
-            earned_at: Moment(0),
+            earned_at: None,
             allowed_total: 0,
         }
     }
@@ -195,9 +200,15 @@
     fn earn_slack(&mut self, share: &RetryShare, now: Moment) {
         self.step(now);
         let window_ms = (self.step_ms * RETRY_STEPS) as f64;
-        let elapsed_ms = now.since(self.earned_at) as f64;
-        self.earned_at = self.earned_at.max(now);
-        let earned = EARNED_FRACTION * share.own_slack() * elapsed_ms / window_ms;
+        if share.own_slack() < MIN_OWN_SLACK {
+            // The number of hosts is not known yet; the time counts once it is.
+            return;
+        }
+        let since = self
+            .earned_at
+            .map_or(now.0 + START_CREDIT_MS, |at| now.since(at));
+        self.earned_at = Some(now.max(self.earned_at.unwrap_or_default()));
+        let earned = EARNED_FRACTION * share.own_slack() * since as f64 / window_ms;
         self.save(earned, share);
     }
 
