EV5010 tells which connection a request was sent over, and what came back

A failed attempt was logged with the status only. That does not tell a second refusal by the server from a second copy of the first one, nor an answer of another request from a lost one. The event now has the connection's local port, how many requests it carried before, the answer's status, whose id the answer carries, whether it states that the request did not run, and the time from the write to the answer.

--- a/src/entry/answer_outcome.rs
+++ b/src/entry/answer_outcome.rs
@@ -5,40 +5,58 @@
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
 use super::server::ServerLoad;
+use super::server_connection::{AnswerId, AnswerTrace, SendTrace};
 use super::server_limit::table::LimitPeriod;
 use super::wire::{ServerHead, WireProtocol};
+use crate::timer::Moment;
+
+/// A request that was sent to a server.
+#[derive(Debug)]
+pub(super) struct SentRequest<'a> {
+    pub(super) request: &'a ForwardRequest,
+    /// The server's limit period at that time.
+    pub(super) sent_in: Option<LimitPeriod>,
+    pub(super) trace: SendTrace,
+    pub(super) began: Moment,
+}
 
 /// Returns the outcome of an attempt if the answer's head decides it, and `None` if the answer is
 /// accepted. Applies the answer's claims about the server in both cases.
 pub(super) fn outcome_from_head<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    request: &ForwardRequest,
+    sent: &SentRequest<'_>,
     head: &http::response::Parts,
-    sent_in: Option<LimitPeriod>,
-) -> Option<AttemptOutcome> {
+) -> (Option<AttemptOutcome>, SendTrace) {
     let answer = host.wire.read_answer(&head.headers);
-    let outcome = classify(server, request, head, &answer);
+    let answer_id = AnswerId::of(answer.request_id, sent.request.id.as_deref());
+    let outcome = classify(server, answer_id, head, &answer);
     let claims = AnswerClaims {
         head: &answer,
         status: head.status,
         trust: trust_of(head, &answer, outcome.as_ref()),
-        sent_in,
+        sent_in: sent.sent_in,
     };
     host.on_answer_claims(server, &claims);
     if matches!(outcome, Some(AttemptOutcome::Lost(_))) {
         host.metrics.borrow_mut().answers_dropped += 1;
     }
-    outcome
+    let trace = sent.trace.answered_by(AnswerTrace {
+        status: head.status.as_u16(),
+        id: answer_id,
+        not_run: answer.not_run,
+        after_ms: host.now().since(sent.began),
+    });
+    (outcome, trace)
 }
 
 fn classify(
     server: &FleetServer,
-    request: &ForwardRequest,
+    answer_id: AnswerId,
     head: &http::response::Parts,
     answer: &ServerHead<'_>,
 ) -> Option<AttemptOutcome> {
-    if answer.request_id.is_some() && answer.request_id != request.id.as_deref() {
+    if answer_id == AnswerId::Other {
         return Some(AttemptOutcome::Lost(LossCause::WrongRequest));
     }
     let misdirected = head.status == http::StatusCode::MISDIRECTED_REQUEST;
--- a/src/entry/attempts/mod.rs
+++ b/src/entry/attempts/mod.rs
@@ -8,7 +8,7 @@
 mod outcome;
 mod slot_wait;
 
-use std::rc;
+use std::{cell, rc};
 
 use self::failed_answer::FirstFailure;
 use super::attempt_record::AttemptRecord;
@@ -23,6 +23,7 @@
 use super::quarantine_role::SuspectAdmission;
 use super::request_failure::RequestFailure;
 use super::server::ServerLoad;
+use super::server_connection::SendTrace;
 use super::server_limit;
 use super::server_limit::token::SendToken;
 use super::wire::WireProtocol;
@@ -106,6 +107,7 @@
         retried_same_server: false,
         is_counted: progress.is_counted,
         last: None,
+        last_send: cell::Cell::default(),
         first_failure: None,
         reserved_share: 0.0,
     };
@@ -132,6 +134,8 @@
     is_counted: bool,
     /// The outcome of the last time that the request was sent.
     last: Option<RequestFailure>,
+    /// The last attempt's send, for the log; `None` if nothing was written.
+    last_send: cell::Cell<Option<SendTrace>>,
     /// The failure that a server answered with, while another server is tried.
     first_failure: Option<FirstFailure>,
     /// Share of each server's slots that the request leaves free for more urgent ones.
@@ -338,7 +342,9 @@
             deadline: self.open.deadline,
             right,
             progress: &self.open.progress,
+            trace: &self.last_send,
         };
+        self.last_send.set(None);
         let outcome = exchange::attempt(self.host, &server, &self.open.forward, terms).await;
         self.host.on_slot_freed(&server);
         self.count_for_rollout(&server, &outcome, began, object_cached);
--- a/src/entry/attempts/outcome.rs
+++ b/src/entry/attempts/outcome.rs
@@ -184,6 +184,7 @@
             "version": host.configuration_version(),
             "fleet_revision": host.fleet.borrow().revision(),
             "expected_load": server.expected_load(now),
+            "send": self.last_send.get(),
         });
         host.log_event(EventCode::OfferFailed, fields);
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -1,17 +1,18 @@
 //! Sends a request to one backend server and classifies the outcome of this attempt.
 
-use std::{rc, time};
+use std::{cell, rc, time};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 
-use super::answer_outcome::outcome_from_head;
+use super::answer_outcome::{SentRequest, outcome_from_head};
 use super::departure::RequestProgress;
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
-use super::pool::{self, ServerSender};
+use super::pool;
 use super::send_gate::{SendPermit, ServerMessage, WithheldCause};
+use super::server_connection::{SendTrace, ServerConnection};
 use super::server_limit::token::SendToken;
 use super::wire::WireProtocol;
 use crate::timer::{BootClock, Moment};
@@ -45,7 +46,7 @@
     /// The part of the body that was read so far.
     pub buffered: Bytes,
     /// The unread part of a large body, and the connection that it arrives on.
-    pub remaining: Option<(Incoming, ServerSender)>,
+    pub remaining: Option<(Incoming, ServerConnection)>,
 }
 
 /// How an attempt to send a request to a server ended.
@@ -152,6 +153,8 @@
     pub right: SendToken,
     /// Records that the request is written.
     pub progress: &'a RequestProgress,
+    /// Receives the trace of the last send.
+    pub trace: &'a cell::Cell<Option<SendTrace>>,
 }
 
 /// Sends a request to a server and waits for the answer until the deadline. Dropping the future
@@ -168,9 +171,9 @@
         .pool
         .borrow_mut()
         .take(&server.id, must_be_fresh, host.now());
-    if let Some(sender) = idle {
-        let connection = ServerConnection {
-            sender,
+    if let Some(connection) = idle {
+        let connection = OpenConnection {
+            connection,
             is_new: false,
         };
         match send_in_time(host, server, connection, request, options).await {
@@ -180,9 +183,9 @@
         }
     }
     match connect(host, server, options.deadline).await {
-        Ok(sender) => {
-            let connection = ServerConnection {
-                sender,
+        Ok(connection) => {
+            let connection = OpenConnection {
+                connection,
                 is_new: true,
             };
             let outcome = send_in_time(host, server, connection, request, options).await;
@@ -201,7 +204,7 @@
     host: &EntryHost<W>,
     server: &FleetServer,
     deadline: Moment,
-) -> Result<ServerSender, AttemptOutcome> {
+) -> Result<ServerConnection, AttemptOutcome> {
     if host.is_unreachable(&server.service) {
         return Err(AttemptOutcome::NoOpenConnection);
     }
@@ -210,7 +213,7 @@
     let limit = host.latencies.borrow().connect_timeout(&server.region);
     host.metrics.borrow_mut().connections += 1;
     let source = host.settings().server_source_address;
-    let Ok(sender) = pool::connect(server, source, limit.min(left)).await else {
+    let Ok(connection) = pool::connect(server, source, limit.min(left)).await else {
         host.metrics.borrow_mut().connect_failures += 1;
         if left < limit {
             return Err(AttemptOutcome::OutOfTime);
@@ -221,13 +224,13 @@
     let took = time::Duration::from_millis(host.now().since(began));
     let mut latencies = host.latencies.borrow_mut();
     latencies.on_connected(&server.region, took);
-    Ok(sender)
+    Ok(connection)
 }
 
 /// A connection that a request is sent over.
 #[derive(Debug)]
-struct ServerConnection {
-    sender: ServerSender,
+struct OpenConnection {
+    connection: ServerConnection,
     /// Whether it was opened for this request.
     is_new: bool,
 }
@@ -235,7 +238,7 @@
 async fn send_in_time<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    connection: ServerConnection,
+    connection: OpenConnection,
     request: &ForwardRequest,
     options: AttemptOptions<'_>,
 ) -> AttemptOutcome {
@@ -248,11 +251,14 @@
 async fn send<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    connection: ServerConnection,
+    connection: OpenConnection,
     request: &ForwardRequest,
     options: AttemptOptions<'_>,
 ) -> AttemptOutcome {
-    let ServerConnection { mut sender, is_new } = connection;
+    let OpenConnection {
+        mut connection,
+        is_new,
+    } = connection;
     let id = request.id.as_deref();
     let permit = match SendPermit::obtain(host, server, options.right, id) {
         Ok(permit) => permit,
@@ -264,10 +270,13 @@
         .server_limits
         .table()
         .period_of(server.incarnation_hash);
-    options.progress.on_sent(host.now());
+    let began = host.now();
+    options.progress.on_sent(began);
+    let trace = connection.record.begin_send();
+    options.trace.set(Some(trace));
     let wait = host.begin_wait(server);
     let written = tokio::select! {
-        written = permit.write(&mut sender, message) => written,
+        written = permit.write(&mut connection.sender, message) => written,
         // Another host may still serve it in time.
         () = host.until_answer_is_unlikely(&server.service), if request.is_retryable => {
             return AttemptOutcome::Lost(LossCause::Unreachable);
@@ -289,11 +298,19 @@
             };
         }
     };
-    let Some(outcome) = outcome_from_head(host, server, request, &head, sent_in) else {
-        return read_body(host, server, sender, head, body).await;
+    let sent = SentRequest {
+        request,
+        sent_in,
+        trace,
+        began,
+    };
+    let (outcome, trace) = outcome_from_head(host, server, &sent, &head);
+    options.trace.set(Some(trace));
+    let Some(outcome) = outcome else {
+        return read_body(host, server, connection, head, body).await;
     };
     if matches!(outcome, AttemptOutcome::NotRun { .. }) {
-        discard_body(host, server, sender, &head, body).await;
+        discard_body(host, server, connection, &head, body).await;
     }
     outcome
 }
@@ -316,7 +333,7 @@
 async fn read_body<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    sender: ServerSender,
+    connection: ServerConnection,
     head: http::response::Parts,
     body: Incoming,
 ) -> AttemptOutcome {
@@ -324,9 +341,9 @@
         return AttemptOutcome::Lost(LossCause::Truncated);
     };
     let remaining = if let Some(remaining) = remaining {
-        Some((remaining, sender))
+        Some((remaining, connection))
     } else {
-        return_to_pool(host, server, sender, &head);
+        return_to_pool(host, server, connection, &head);
         None
     };
     AttemptOutcome::Answered(Box::new(ServerAnswer {
@@ -362,7 +379,7 @@
 async fn discard_body<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    sender: ServerSender,
+    connection: ServerConnection,
     head: &http::response::Parts,
     body: Incoming,
 ) {
@@ -370,7 +387,7 @@
         .collect()
         .await;
     if whole.is_ok() {
-        return_to_pool(host, server, sender, head);
+        return_to_pool(host, server, connection, head);
     }
 }
 
@@ -379,7 +396,7 @@
 pub fn return_to_pool<W: WireProtocol>(
     host: &EntryHost<W>,
     server: &FleetServer,
-    sender: ServerSender,
+    connection: ServerConnection,
     head: &http::response::Parts,
 ) {
     let closes = head
@@ -392,5 +409,5 @@
     let keep_alive = host.wire.read_answer(&head.headers).keep_alive;
     host.pool
         .borrow_mut()
-        .put(&server.id, sender, keep_alive, host.now());
+        .put(&server.id, connection, keep_alive, host.now());
 }
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -16,6 +16,7 @@
 use crate::entry::peer_message;
 use crate::entry::peers::HandoffTarget;
 use crate::entry::request_failure::RequestFailure;
+use crate::entry::server_connection::{ConnectionRecord, ServerConnection};
 use crate::entry::wire::WireProtocol;
 use crate::http_client::{self, ClientSender, ExchangeFault};
 use crate::tcp_keepalive::ProbeStart;
@@ -174,7 +175,8 @@
         return HandoffOutcome::Lost(LossCause::Truncated);
     };
     let remaining = if let Some(remaining) = remaining {
-        Some((remaining, sender))
+        let record = ConnectionRecord::default();
+        Some((remaining, ServerConnection { sender, record }))
     } else {
         host.handoffs
             .put_connection(target.address, sender, host.now());
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -2,12 +2,11 @@
 
 use std::{collections, net, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
 use super::fleet_server::FleetServer;
+use super::server_connection::{ConnectionRecord, ServerConnection};
 use crate::tcp_close;
 use crate::tcp_keepalive::{self, ProbeStart};
 use crate::timer::Moment;
@@ -25,12 +24,9 @@
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 8;
 
-/// The sending half of a connection.
-pub type ServerSender = http1::SendRequest<Full<Bytes>>;
-
 #[derive(Debug)]
 struct IdleConnection {
-    sender: ServerSender,
+    connection: ServerConnection,
     since: Moment,
     until: Moment,
 }
@@ -49,19 +45,19 @@
         server_id: &str,
         must_be_fresh: bool,
         now: Moment,
-    ) -> Option<ServerSender> {
+    ) -> Option<ServerConnection> {
         let idle = self.idle.get_mut(server_id)?;
-        while let Some(connection) = idle.pop() {
-            let stale = now >= connection.until;
-            let idle_too_long = now.since(connection.since) > MAX_FRESH_IDLE_MS;
-            if stale || !connection.sender.is_ready() {
+        while let Some(last) = idle.pop() {
+            let stale = now >= last.until;
+            let idle_too_long = now.since(last.since) > MAX_FRESH_IDLE_MS;
+            if stale || !last.connection.sender.is_ready() {
                 continue;
             }
             if must_be_fresh && idle_too_long {
-                idle.push(connection);
+                idle.push(last);
                 return None;
             }
-            return Some(connection.sender);
+            return Some(last.connection);
         }
         None
     }
@@ -70,7 +66,7 @@
     pub fn put(
         &mut self,
         server_id: &str,
-        sender: ServerSender,
+        connection: ServerConnection,
         keep_alive: Option<time::Duration>,
         now: Moment,
     ) {
@@ -78,11 +74,11 @@
             keep_alive.map_or(DEFAULT_KEEP_ALIVE_MS, |time| time.as_millis() as u64);
         let keep_ms = keep_alive_ms.saturating_sub(KEEP_ALIVE_MARGIN_MS);
         let idle = self.idle.entry(server_id.to_owned()).or_default();
-        if keep_ms == 0 || idle.len() >= MAX_IDLE_PER_SERVER || sender.is_closed() {
+        if keep_ms == 0 || idle.len() >= MAX_IDLE_PER_SERVER || connection.sender.is_closed() {
             return;
         }
         idle.push(IdleConnection {
-            sender,
+            connection,
             since: now,
             until: now.plus(keep_ms),
         });
@@ -96,7 +92,7 @@
     /// Closes expired and broken connections, and those to servers that are gone.
     pub fn on_tick(&mut self, is_gone: impl Fn(&str) -> bool, now: Moment) {
         self.idle.retain(|server_id, idle| {
-            idle.retain(|connection| now < connection.until && !connection.sender.is_closed());
+            idle.retain(|one| now < one.until && !one.connection.sender.is_closed());
             !idle.is_empty() && !is_gone(server_id)
         });
     }
@@ -128,7 +124,7 @@
     server: &FleetServer,
     source: Option<net::IpAddr>,
     timeout: time::Duration,
-) -> Result<ServerSender, ConnectFault> {
+) -> Result<ServerConnection, ConnectFault> {
     let opening = open_stream(server.address, source);
     let stream = match tokio::time::timeout(timeout, opening).await {
         Ok(Ok(stream)) => stream,
@@ -137,6 +133,7 @@
         }
         Ok(Err(_)) | Err(_) => return Err(ConnectFault::Unreachable),
     };
+    let local_port = stream.local_addr().map_or(0, |address| address.port());
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     let handshake = builder.handshake(TokioIo::new(stream)).await;
@@ -147,7 +144,10 @@
         // A broken connection shows up as an error of the request that uses it.
         let _outcome = connection.await;
     });
-    Ok(sender)
+    Ok(ServerConnection {
+        sender,
+        record: ConnectionRecord::new(local_port),
+    })
 }
 
 async fn open_stream(
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -152,9 +152,9 @@
     let connected = host.open_connection(&server).await;
     let requests = host.quarantine.take_broken(&server.id);
     match connected {
-        Ok(sender) if server.takes_work() => {
+        Ok(connection) if server.takes_work() => {
             let mut pool = host.pool.borrow_mut();
-            pool.put(&server.id, sender, None, host.now());
+            pool.put(&server.id, connection, None, host.now());
         }
         // The server is running, or is not reachable from here: neither incriminates the requests.
         Ok(_) => {}
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -13,8 +13,9 @@
 use super::fleet_server::FleetServer;
 use super::gossip;
 use super::host::EntryHost;
-use super::pool::{self, ConnectFault, ServerSender};
+use super::pool::{self, ConnectFault};
 use super::request_failure::RequestFailure;
+use super::server_connection::ServerConnection;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::reachability::ReachabilityTable;
@@ -345,10 +346,12 @@
             .map(|server| async move { (server, self.open_connection(server).await) })
             .collect();
         while let Some((server, opened)) = opening.next().await {
-            if let Ok(sender) = opened {
+            if let Ok(connection) = opened {
                 if server.takes_work() {
                     let now = self.now();
-                    self.pool.borrow_mut().put(&server.id, sender, None, now);
+                    self.pool
+                        .borrow_mut()
+                        .put(&server.id, connection, None, now);
                 }
                 return Some(());
             }
@@ -360,12 +363,12 @@
     pub(super) async fn open_connection(
         &self,
         server: &FleetServer,
-    ) -> Result<ServerSender, ConnectFault> {
+    ) -> Result<ServerConnection, ConnectFault> {
         let limit = self.latencies.borrow().connect_timeout(&server.region);
         let source = self.settings().server_source_address;
         self.metrics.borrow_mut().connections += 1;
         let opened = pool::connect(server, source, limit).await;
-        let Ok(sender) = opened else {
+        let Ok(connection) = opened else {
             self.metrics.borrow_mut().connect_failures += 1;
             return opened;
         };
@@ -375,11 +378,11 @@
             MIN_OPEN_TIME
         };
         tokio::time::sleep(min_open_time).await;
-        if sender.is_closed() {
+        if connection.sender.is_closed() {
             return Err(ConnectFault::Unreachable);
         }
         self.on_server_connected(server);
-        Ok(sender)
+        Ok(connection)
     }
 
     /// Servers of a service to connect to, in different halls as far as possible. Those that leave
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -23,10 +23,10 @@
 use super::metrics_page::RequestCompletion;
 use super::open_request::{OpenRequest, RequestTimes};
 use super::peers::HandoffTarget;
-use super::pool::ServerSender;
 use super::quarantine_role;
 use super::request_failure::RequestFailure;
 use super::request_metrics::RouteLabel;
+use super::server_connection::ServerConnection;
 use super::wire::WireProtocol;
 use crate::connection_headers;
 use crate::event::EventCode;
@@ -313,7 +313,7 @@
 #[derive(Debug)]
 pub struct StreamedAnswer<W: WireProtocol> {
     guard: AnswerGuard<W>,
-    sender: ServerSender,
+    connection: ServerConnection,
     source: StreamSource,
 }
 
@@ -391,12 +391,12 @@
         match self.source {
             StreamSource::Host(address) if complete => {
                 host.handoffs
-                    .put_connection(address, self.sender, host.now());
+                    .put_connection(address, self.connection.sender, host.now());
             }
             // The next request to that host finds out whether it is still there.
             StreamSource::Host(_broken) => {}
             StreamSource::Server(stream) => {
-                on_server_stream_end(&host, *stream, self.sender, complete);
+                on_server_stream_end(&host, *stream, self.connection, complete);
             }
         }
     }
@@ -405,7 +405,7 @@
 fn on_server_stream_end<W: WireProtocol>(
     host: &rc::Rc<EntryHost<W>>,
     stream: ServerStream,
-    sender: ServerSender,
+    connection: ServerConnection,
     complete: bool,
 ) {
     let ServerStream {
@@ -416,7 +416,7 @@
     } = stream;
     drop(slot);
     if complete {
-        exchange::return_to_pool(host, &server, sender, &head);
+        exchange::return_to_pool(host, &server, connection, &head);
     } else {
         host.on_server_failure(&server);
         host.on_connection_failed(&server);
@@ -436,12 +436,12 @@
     let status = answer.head.status;
     let body = match answer.remaining {
         None => AnswerBody::whole(answer.buffered),
-        Some((remaining, sender)) => AnswerBody::Streamed {
+        Some((remaining, connection)) => AnswerBody::Streamed {
             buffered: Some(answer.buffered),
             remaining,
             on_end: Some(StreamedAnswer {
                 guard: AnswerGuard::begin(host, open),
-                sender,
+                connection,
                 source: match source {
                     AnswerSource::Host(target) => StreamSource::Host(target.address),
                     AnswerSource::Server(server, _) => {
--- a/src/entry/send_gate.rs
+++ b/src/entry/send_gate.rs
@@ -12,7 +12,7 @@
 
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
-use super::pool::ServerSender;
+use super::server_connection::ServerSender;
 use super::server_limit::token::SendToken;
 use super::server_notice::ServerAvailability;
 use super::wire::WireProtocol;
