A rejected request is never sent again over the same connection

Cause: a server that rejects a request despite free slots is tried a second time, and the idle connection used last was the one that had carried the rejection. A faulty server may send a second copy of an answer late, in the place of the next one. Both sends have the same request id, which is all that tells such a copy apart, so the copy of the first rejection was taken for the answer to the second attempt, which the server runs.

Change: a connection remembers the ids that were rejected over it and is not taken for them again; the request goes over another one. That covers every way in which an id returns to a connection: the own second attempt, a caller that comes back with its id, a request that is handed over again. A copy that arrives on any other connection has another id and is discarded as before. After 64 rejections a connection is closed. Requests without an id get a connection each.

Why it holds: a statement that a request did not run is accepted only with the request's id, and only from a connection over which that id was not rejected before, so it cannot be older than the send. Other answers are not pooled with the id at stake: a lost, timed-out or foreign answer closes its connection.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -167,10 +167,11 @@
 ) -> AttemptOutcome {
     let _slot = SlotGuard::at(server, host.clock());
     let must_be_fresh = !request.is_retryable;
-    let idle = host
-        .pool
-        .borrow_mut()
-        .take(&server.id, must_be_fresh, host.now());
+    // Answers to requests without an id can't be told apart, so each gets a connection of its own.
+    let idle = request.id.as_deref().and_then(|id| {
+        let mut pool = host.pool.borrow_mut();
+        pool.take(&server.id, id, must_be_fresh, host.now())
+    });
     if let Some(connection) = idle {
         let connection = OpenConnection {
             connection,
@@ -310,6 +311,9 @@
         return read_body(host, server, connection, head, body).await;
     };
     if matches!(outcome, AttemptOutcome::NotRun { .. }) {
+        if let Some(id) = id {
+            connection.record.on_rejected(id);
+        }
         discard_body(host, server, connection, &head, body).await;
     }
     outcome
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -38,31 +38,33 @@
 }
 
 impl ServerPool {
-    /// Takes a usable idle connection, the most recently used one first. With `must_be_fresh`, it
-    /// must have been idle for a short time only.
+    /// Takes an idle connection for the request `id`, the most recently used one first. With
+    /// `must_be_fresh`, it must have been idle for a short time only.
     pub fn take(
         &mut self,
         server_id: &str,
+        id: &str,
         must_be_fresh: bool,
         now: Moment,
     ) -> Option<ServerConnection> {
         let idle = self.idle.get_mut(server_id)?;
-        while let Some(last) = idle.pop() {
-            let stale = now >= last.until;
-            let idle_too_long = now.since(last.since) > MAX_FRESH_IDLE_MS;
-            if stale || !last.connection.sender.is_ready() {
+        for place in (0..idle.len()).rev() {
+            let one = &idle[place];
+            if now >= one.until || !one.connection.sender.is_ready() {
+                idle.remove(place);
                 continue;
             }
-            if must_be_fresh && idle_too_long {
-                idle.push(last);
+            if must_be_fresh && now.since(one.since) > MAX_FRESH_IDLE_MS {
                 return None;
             }
-            return Some(last.connection);
+            if one.connection.record.may_carry(id) {
+                return Some(idle.remove(place).connection);
+            }
         }
         None
     }
 
-    /// Adds a connection whose last answer was read completely.
+    /// Adds a connection whose last answer was read completely, unless it must not be used again.
     pub fn put(
         &mut self,
         server_id: &str,
@@ -74,7 +76,8 @@
             keep_alive.map_or(DEFAULT_KEEP_ALIVE_MS, |time| time.as_millis() as u64);
         let keep_ms = keep_alive_ms.saturating_sub(KEEP_ALIVE_MARGIN_MS);
         let idle = self.idle.entry(server_id.to_owned()).or_default();
-        if keep_ms == 0 || idle.len() >= MAX_IDLE_PER_SERVER || connection.sender.is_closed() {
+        let is_usable = !connection.sender.is_closed() && !connection.record.is_full();
+        if keep_ms == 0 || idle.len() >= MAX_IDLE_PER_SERVER || !is_usable {
             return;
         }
         idle.push(IdleConnection {
--- a/src/entry/server_connection.rs
+++ b/src/entry/server_connection.rs
@@ -1,9 +1,16 @@
 //! A connection to a backend server, and what was seen of the requests sent over it.
+//!
+//! A faulty server may send a second copy of an answer, which arrives where the next answer is due.
+//! The request id tells them apart, unless both requests have the same id. A connection therefore
+//! never carries an id again that was rejected over it: a copy of the rejection would state that the
+//! second request did not run, while the server runs it.
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 
+use super::hash;
+
 /// The sending half of a connection.
 pub type ServerSender = http1::SendRequest<Full<Bytes>>;
 
@@ -16,12 +23,18 @@
     pub record: ConnectionRecord,
 }
 
+/// Maximum number of rejected ids that a connection remembers. It is closed after that, since it may
+/// carry no id that it has forgotten.
+const MAX_REJECTED_IDS: usize = 64;
+
 /// What was sent over a connection.
 #[derive(Debug, Default)]
 pub struct ConnectionRecord {
     /// Identifies the connection in the log.
     local_port: u16,
     sends: u32,
+    /// Hashes of the ids of requests that the server rejected.
+    rejected: Vec<u64>,
 }
 
 impl ConnectionRecord {
@@ -31,9 +44,35 @@
         Self {
             local_port,
             sends: 0,
+            rejected: Vec::new(),
         }
     }
 
+    /// Records that the server stated that it did not run the request with this id.
+    ///
+    /// ```
+    /// use ledgespool::entry::server_connection::ConnectionRecord;
+    /// let mut record = ConnectionRecord::default();
+    /// record.on_rejected("r-1");
+    /// assert!(!record.may_carry("r-1"));
+    /// assert!(record.may_carry("r-2"));
+    /// ```
+    pub fn on_rejected(&mut self, id: &str) {
+        self.rejected.push(hash::of_name(id));
+    }
+
+    /// Whether an answer with this id can only belong to a request that is sent from now on.
+    #[must_use]
+    pub fn may_carry(&self, id: &str) -> bool {
+        !self.rejected.contains(&hash::of_name(id))
+    }
+
+    /// Whether the connection must be closed instead of being used again.
+    #[must_use]
+    pub const fn is_full(&self) -> bool {
+        self.rejected.len() >= MAX_REJECTED_IDS
+    }
+
     /// Counts a request that is about to be written; returns the trace of this send.
     pub const fn begin_send(&mut self) -> SendTrace {
         let trace = SendTrace {
