An answer without a request id is accepted on an unused connection only

Every answer of a server carries the id of its request. One without an id was accepted for whatever request waited on the connection, so a copy of an earlier rejection without an id became "503, not run" for a request that the server ran. The answers to health checks and to requests without an id have none either.

Now it is accepted only if nothing was sent over the connection before. Otherwise it is treated like the answer of another request: the request is lost (502) or, if it may run twice, sent again; nothing that the answer states of its server is applied.

--- a/src/entry/answer_outcome.rs
+++ b/src/entry/answer_outcome.rs
@@ -30,7 +30,10 @@
 ) -> (Option<AttemptOutcome>, SendTrace) {
     let answer = host.wire.read_answer(&head.headers);
     let answer_id = AnswerId::of(answer.request_id, sent.request.id.as_deref());
-    let outcome = classify(server, answer_id, head, &answer);
+    let outcome = match misattribution(answer_id, sent.trace) {
+        Some(cause) => Some(AttemptOutcome::Lost(cause)),
+        None => classify(server, head, &answer),
+    };
     let claims = AnswerClaims {
         head: &answer,
         status: head.status,
@@ -50,15 +53,20 @@
     (outcome, trace)
 }
 
+/// Why the answer may belong to another request, if so.
+const fn misattribution(answer_id: AnswerId, trace: SendTrace) -> Option<LossCause> {
+    match answer_id {
+        AnswerId::Other => Some(LossCause::WrongRequest),
+        AnswerId::Missing if trace.earlier_sends > 0 => Some(LossCause::NoRequestId),
+        AnswerId::Missing | AnswerId::Own => None,
+    }
+}
+
 fn classify(
     server: &FleetServer,
-    answer_id: AnswerId,
     head: &http::response::Parts,
     answer: &ServerHead<'_>,
 ) -> Option<AttemptOutcome> {
-    if answer_id == AnswerId::Other {
-        return Some(AttemptOutcome::Lost(LossCause::WrongRequest));
-    }
     let misdirected = head.status == http::StatusCode::MISDIRECTED_REQUEST;
     if misdirected && answer.server_id.is_some_and(|id| *id != *server.id) {
         return Some(AttemptOutcome::OtherServer);
@@ -84,7 +92,9 @@
         return AnswerTrust::Foreign;
     }
     match outcome {
-        Some(AttemptOutcome::Lost(LossCause::WrongRequest)) => AnswerTrust::Foreign,
+        Some(AttemptOutcome::Lost(LossCause::WrongRequest | LossCause::NoRequestId)) => {
+            AnswerTrust::Foreign
+        }
         Some(AttemptOutcome::Lost(_)) => AnswerTrust::Distrusted,
         _ if answer.signed || answer.not_run => AnswerTrust::Verified,
         _ => AnswerTrust::Unsigned,
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -90,6 +90,8 @@
     Truncated,
     /// The answer carries the id of another request.
     WrongRequest,
+    /// The answer carries no id and may belong to an earlier request on the connection.
+    NoRequestId,
     /// The answer reports success without the server's signature.
     Unsigned,
     /// The status implies that the request has not run, but the server does not confirm it.
@@ -105,6 +107,7 @@
             Self::Unreachable => "the service became unreachable before an answer",
             Self::Truncated => "the answer broke off",
             Self::WrongRequest => "the answer belongs to another request",
+            Self::NoRequestId => "the answer carries no request id",
             Self::Unsigned => "a success without the server's signature",
             Self::UnconfirmedRefusal => "a refusal that does not say that the request did not run",
         }
