A rejection counts as soon as its head has arrived

A server that rejects a request states so in the head of its answer. The host read the body of that answer before it went on, bounded only by the request's deadline. If the body stalled, the caller got 504 at its deadline, as if the request might have run, although it could have been sent to another server or refused at once.

Now the body is read by a task, for at most a second, and the connection is pooled when it is complete. A rejection without a body, the usual one, pools its connection at once as before.

Test, red before (504 instead of 200): a_rejection_counts_before_its_body_has_arrived.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use super::answer_outcome::{SentRequest, outcome_from_head};
 use super::departure::RequestProgress;
@@ -20,6 +20,8 @@
 /// Answers up to this size, in bytes, are buffered completely before the caller gets any byte, so
 /// that a truncated one can be retried on another server. The largest usual download is half of it.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
+/// How long the body of a refusal may take before its connection is closed.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// A request in the form in which it is sent to backend servers.
 #[derive(Debug)]
@@ -163,7 +165,7 @@
 /// Sends a request to a server and waits for the answer until the deadline. Dropping the future
 /// closes the connection, which cancels the server's work.
 pub async fn attempt<W: WireProtocol>(
-    host: &EntryHost<W>,
+    host: &rc::Rc<EntryHost<W>>,
     server: &rc::Rc<FleetServer>,
     request: &ForwardRequest,
     options: AttemptOptions<'_>,
@@ -240,8 +242,8 @@
 }
 
 async fn send_in_time<W: WireProtocol>(
-    host: &EntryHost<W>,
-    server: &FleetServer,
+    host: &rc::Rc<EntryHost<W>>,
+    server: &rc::Rc<FleetServer>,
     connection: OpenConnection,
     request: &ForwardRequest,
     options: AttemptOptions<'_>,
@@ -253,8 +255,8 @@
 }
 
 async fn send<W: WireProtocol>(
-    host: &EntryHost<W>,
-    server: &FleetServer,
+    host: &rc::Rc<EntryHost<W>>,
+    server: &rc::Rc<FleetServer>,
     connection: OpenConnection,
     request: &ForwardRequest,
     options: AttemptOptions<'_>,
@@ -317,7 +319,7 @@
         if let Some(id) = id {
             connection.record.on_rejected(id);
         }
-        discard_body(host, server, connection, &head, body).await;
+        discard_body(host, server, connection, head, body);
     }
     outcome
 }
@@ -382,20 +384,26 @@
     Ok((buffered.freeze(), Some(body)))
 }
 
-/// Reads and discards the small body of a refusal, so that the connection can be reused.
-async fn discard_body<W: WireProtocol>(
-    host: &EntryHost<W>,
-    server: &FleetServer,
+/// Reads and discards the small body of a refusal, so that the connection can be reused. The outcome
+/// of the attempt does not wait for it.
+fn discard_body<W: WireProtocol>(
+    host: &rc::Rc<EntryHost<W>>,
+    server: &rc::Rc<FleetServer>,
     connection: ServerConnection,
-    head: &http::response::Parts,
+    head: http::response::Parts,
     body: Incoming,
 ) {
-    let whole = http_body_util::Limited::new(body, MAX_BUFFERED_ANSWER_BYTES)
-        .collect()
-        .await;
-    if whole.is_ok() {
-        return_to_pool(host, server, connection, head);
+    if body.is_end_stream() {
+        return return_to_pool(host, server, connection, &head);
     }
+    let (host, server) = (rc::Rc::clone(host), rc::Rc::clone(server));
+    tokio::task::spawn_local(async move {
+        let body = http_body_util::Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
+        let whole = tokio::time::timeout(DISCARD_TIMEOUT, body.collect()).await;
+        if matches!(whole, Ok(Ok(_))) {
+            return_to_pool(&host, &server, connection, &head);
+        }
+    });
 }
 
 /// Returns a connection to the pool after its answer was read completely, unless the server closes
