Announcements have a module of their own

Heartbeats that are sent between the regular ones move to announcements.rs; no line of them changes.

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -7,6 +7,7 @@
 use rand::Rng as _;
 use serde_json::json;
 
+use super::announcements;
 use super::configuration::ServiceConfiguration;
 use super::expiry_retention::{MissingSource, ReportedRetentions};
 use super::gossip;
@@ -252,7 +253,7 @@
         let before = host.configuration_version();
         host.install_configuration(configuration, &source.to_string());
         if host.configuration_version() > before {
-            gossip::forward_configuration_announcement(host);
+            announcements::forward_configuration_announcement(host);
         }
     }
     FetchOutcome::of(fetched.as_ref())
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -12,8 +12,8 @@
 use rand::Rng as _;
 use serde_json::json;
 
+use super::announcements;
 use super::expiry_retention::ReturnObservation;
-use super::gossip;
 use super::host::EntryHost;
 use super::retention_review::{self, WatchGap};
 use super::store::{ChangeBatch, ObjectKind, ObjectStore, StoreFault, StoreResult};
@@ -170,7 +170,7 @@
         if !batch.changes.is_empty() {
             store_updates::on_changes(&self.host, self.kind, &batch);
             if call == CHECK_CALL {
-                gossip::announce_to_watchers(&self.host);
+                announcements::announce_to_watchers(&self.host);
             }
             self.review_retention(batch.revision);
             // Changes come in groups; receiving a group at once saves calls.
--- a/src/entry/join_client.rs
+++ b/src/entry/join_client.rs
@@ -14,6 +14,7 @@
 use rand::seq::IteratorRandom as _;
 use serde_json::json;
 
+use super::announcements;
 use super::catch_up;
 use super::gossip;
 use super::host::EntryHost;
@@ -136,7 +137,7 @@
     let region = host.settings().region.clone();
     let is_local = host.peers.borrow().is_in_region(source, &region);
     if !is_local {
-        gossip::announce_start(host);
+        announcements::announce_start(host);
     }
 }
 
--- a/src/entry/lifecycle.rs
+++ b/src/entry/lifecycle.rs
@@ -11,7 +11,7 @@
 use super::store::ObjectStore;
 use super::wire::WireProtocol;
 use super::{
-    follow, gossip, host_entries, join_client, limit_role, listen, quarantine_role,
+    announcements, follow, gossip, host_entries, join_client, limit_role, listen, quarantine_role,
     reachability_role, rollout_role,
 };
 use crate::error;
@@ -119,7 +119,7 @@
     }
     host.on_leaving();
     host.stop_coordinating();
-    gossip::announce(host);
+    announcements::announce(host);
     let deregistration = host_entries::deregister(rc::Rc::clone(host), rc::Rc::clone(store));
     tokio::task::spawn_local(deregistration);
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 //! Everything runs on one thread. On small hosts a second thread costs memory and wake-ups without
 //! any benefit (docs/design/platform.md).
 
+mod announcements;
 pub mod answer;
 mod answer_claims;
 mod answer_outcome;
--- a/src/entry/reachability_role.rs
+++ b/src/entry/reachability_role.rs
@@ -10,8 +10,8 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
+use super::announcements;
 use super::fleet_server::FleetServer;
-use super::gossip;
 use super::host::EntryHost;
 use super::pool::{self, ConnectFault};
 use super::request_failure::RequestFailure;
@@ -175,7 +175,7 @@
         });
         self.log_event(EventCode::ServersReached, fields);
         if !did_reach_any {
-            gossip::announce(self);
+            announcements::announce(self);
         }
     }
 
@@ -317,7 +317,7 @@
         if self.reaches_servers() {
             self.check_other_services(service);
         } else {
-            gossip::announce(self);
+            announcements::announce(self);
         }
     }
 
--- a/src/entry/rollout_role.rs
+++ b/src/entry/rollout_role.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 
+use super::announcements;
 use super::fleet_server::FleetServer;
 use super::follow;
 use super::gossip;
@@ -110,7 +111,7 @@
         let is_empty = table.is_empty();
         drop(table);
         if !is_empty {
-            gossip::announce(self);
+            announcements::announce(self);
         }
     }
 
@@ -130,7 +131,7 @@
         }
         table.on_position(batch.revision);
         drop(table);
-        gossip::announce(self);
+        announcements::announce(self);
     }
 
     fn log_unreadable_rollouts<'a>(&self, objects: impl Iterator<Item = &'a StoredObject>) {
@@ -147,7 +148,7 @@
         let now = self.now();
         let has_changed = self.rollouts.table.borrow_mut().on_update(update, now);
         if has_changed && self.leads_rollouts(now) {
-            gossip::announce(self);
+            announcements::announce(self);
         }
     }
 
@@ -288,7 +289,7 @@
 
     /// Announces a change in the own region, and to the hosts that relay it in other regions.
     fn announce_rollout(&self, targets: &[net::SocketAddr]) {
-        gossip::announce(self);
+        announcements::announce(self);
         let heartbeat = PeerMessage::Heartbeat(Box::new(self.heartbeat(true)));
         gossip::send(self, &heartbeat, targets);
     }
--- a/src/entry/store_updates.rs
+++ b/src/entry/store_updates.rs
@@ -2,6 +2,7 @@
 
 use serde_json::json;
 
+use super::announcements;
 use super::expiry_retention::MissingSource;
 use super::fleet_change::ChangeSpan;
 use super::gossip;
@@ -46,7 +47,7 @@
         // Not followed: `quarantine_role` reads it once.
         ObjectKind::Quarantine => {}
     }
-    gossip::announce_start(host);
+    announcements::announce_start(host);
 }
 
 /// Checks the own entry: a store that returned from an older backup may have lost it, or may hold
@@ -74,7 +75,7 @@
             for change in batch.changes.iter().filter(|change| !change.deleted) {
                 on_configuration(host, &change.object);
             }
-            gossip::announce_configuration(host);
+            announcements::announce_configuration(host);
         }
         ObjectKind::Servers => on_servers(host, batch),
         ObjectKind::Evacuations => {
@@ -82,7 +83,7 @@
                 let hall = &change.object.name;
                 host.on_evacuation_change(hall, change.deleted, batch.revision);
             }
-            gossip::announce(host);
+            announcements::announce(host);
         }
         ObjectKind::Rollouts => host.on_rollout_changes(batch),
         ObjectKind::Hosts => on_hosts(host, batch),
