Changes that a check of the store finds are announced twice

The announcement now goes out a second time after 100 ms, to the watchers of the other regions and to the own region. It happens only after a check that found changes; regular announcements are sent once as before.

--- a/src/entry/announcements.rs
+++ b/src/entry/announcements.rs
@@ -1,11 +1,17 @@
 //! Announcements: heartbeats that a host sends between its regular ones, so that others learn at once
 //! that it has newer state.
 
+use std::{rc, time};
+
 use super::gossip;
 use super::host::EntryHost;
 use super::peer_message::PeerMessage;
 use super::wire::WireProtocol;
 
+/// The delay of the second announcement of changes. Datagrams that are sent together may be lost
+/// together.
+const REPEAT_DELAY: time::Duration = time::Duration::from_millis(100);
+
 /// Sends a heartbeat with the current state to all hosts of this region and a few others.
 pub fn announce<W: WireProtocol>(host: &EntryHost<W>) {
     let message = PeerMessage::Heartbeat(Box::new(host.heartbeat(true)));
@@ -17,7 +23,7 @@
     gossip::send(host, &message, &targets);
 }
 
-/// Announces a new configuration to some hosts of this region.
+/// Announces a new configuration, or other newer state, to some hosts of this region.
 pub fn announce_configuration<W: WireProtocol>(host: &EntryHost<W>) {
     let targets = {
         let mut random = host.random.borrow_mut();
@@ -33,13 +39,26 @@
 
 /// Announces this host's state to the hosts that probably watch the store for the other regions. A
 /// silence of the store that this host has noticed may have swallowed their watches as well.
-pub(super) fn announce_to_watchers<W: WireProtocol>(host: &EntryHost<W>) {
+fn announce_to_watchers<W: WireProtocol>(host: &EntryHost<W>) {
     let region = &host.settings().region;
     let targets = host.peers.borrow().relay_targets(region, host.now());
     let heartbeat = host.heartbeat(true).for_other_regions();
     gossip::send(host, &PeerMessage::Heartbeat(Box::new(heartbeat)), &targets);
 }
 
+/// Announces changes that a check of the store found, twice: to the watchers of the other regions,
+/// and to this region, which was told of them when they were applied. After a silence of the store
+/// no other watcher may know them, so a host that misses a datagram would wait for a heartbeat.
+pub(super) fn announce_found_changes<W: WireProtocol>(host: &rc::Rc<EntryHost<W>>) {
+    announce_to_watchers(host);
+    let host = rc::Rc::clone(host);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(REPEAT_DELAY).await;
+        announce_to_watchers(&host);
+        announce_configuration(&host);
+    });
+}
+
 /// Announces a fetched configuration further if the region is too large for the first announcement.
 pub fn forward_configuration_announcement<W: WireProtocol>(host: &EntryHost<W>) {
     let must_forward_announcement = host
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -170,7 +170,7 @@
         if !batch.changes.is_empty() {
             store_updates::on_changes(&self.host, self.kind, &batch);
             if call == CHECK_CALL {
-                announcements::announce_to_watchers(&self.host);
+                announcements::announce_found_changes(&self.host);
             }
             self.review_retention(batch.revision);
             // Changes come in groups; receiving a group at once saves calls.
