--- a/tests/entry_watch_schedule.rs
+++ b/tests/entry_watch_schedule.rs
@@ -47,12 +47,12 @@
             || (is_waiting && matches!(self.swallowed, SwallowedCalls::BegunAndWaiting))
     }
 
-    /// When a watcher learns of the second change.
-    fn learned_at(self, slot: WatchSlot) -> u64 {
+    /// When a watcher whose clock is ahead by `ahead_ms` learns of the second change.
+    fn learned_at(self, slot: WatchSlot, ahead_ms: u64) -> u64 {
         let interval_ms = slot.interval_ms(LIMITS);
         let mut now = FIRST_CHANGE_MS + CALL_MS + BATCH_PAUSE_MS;
         loop {
-            let due = now + slot.wait_until_slot_ms(interval_ms, now);
+            let due = now + slot.wait_until_slot_ms(interval_ms, now + ahead_ms);
             let is_swallowed = self.swallows(now, due);
             if !is_swallowed && self.change_ms <= due {
                 return now.max(self.change_ms) + CALL_MS;
@@ -78,8 +78,8 @@
 }
 
 /// The longest time from the second change until the first of `count` watchers knows it, over all
-/// silences of this way and up to `longest_ms`.
-fn worst_ms(count: u64, swallowed: SwallowedCalls, longest_ms: u64) -> u64 {
+/// silences of this way and up to `longest_ms`. The clock of the first watcher is ahead.
+fn worst_ms(count: u64, swallowed: SwallowedCalls, longest_ms: u64, ahead_ms: u64) -> u64 {
     let mut worst = 0;
     for begins in (0..6_000).step_by(50) {
         for length in (100..=longest_ms).step_by(100) {
@@ -92,7 +92,11 @@
                     change_ms: ends_ms + pause,
                 };
                 let slots = (0..count).map(|index| WatchSlot { index, count });
-                let first = slots.map(|slot| plan.learned_at(slot)).min();
+                let learned = slots.map(|slot| {
+                    let ahead_ms = if slot.index == 0 { ahead_ms } else { 0 };
+                    plan.learned_at(slot, ahead_ms)
+                });
+                let first = learned.min();
                 worst = worst.max(first.expect("a watcher") - plan.change_ms);
             }
         }
@@ -106,7 +110,7 @@
         let interval_ms = WatchSlot { index: 0, count }.interval_ms(LIMITS);
         let bound = interval_ms + watch_schedule::MAX_LATENESS_MS + 2 * CALL_MS;
         for swallowed in [SwallowedCalls::Begun, SwallowedCalls::BegunAndWaiting] {
-            let worst = worst_ms(count, swallowed, 600);
+            let worst = worst_ms(count, swallowed, 600, 0);
             assert!(
                 worst <= bound,
                 "{count} watchers, {swallowed:?}: {worst} ms, bound {bound} ms"
@@ -120,7 +124,7 @@
 fn a_longer_silence_delays_changes_by_less_than_the_bound() {
     for count in [2, 6] {
         for swallowed in [SwallowedCalls::Begun, SwallowedCalls::BegunAndWaiting] {
-            let worst = worst_ms(count, swallowed, 4_500);
+            let worst = worst_ms(count, swallowed, 4_500, 0);
             assert!(
                 worst <= 2_000,
                 "{count} watchers, {swallowed:?}: {worst} ms"
@@ -129,6 +133,26 @@
     }
 }
 
+/// A watcher whose clock is off, or that counts other hosts among the watchers than they do, has the
+/// slot of another one and leaves its own out. With two watchers, both checks may then fall into the
+/// same silence and fail.
+#[test]
+fn one_watcher_that_is_out_of_turn_delays_changes_by_one_interval_or_one_failed_check() {
+    let failed_check_ms = watch_schedule::CHECK_TIMEOUT_MS + MAX_BACKOFF_MS + CALL_MS;
+    for count in [2, 3, 6] {
+        let interval_ms = WatchSlot { index: 0, count }.interval_ms(LIMITS);
+        let interval_more_ms = 2 * interval_ms + watch_schedule::MAX_LATENESS_MS + 2 * CALL_MS;
+        let bound = interval_more_ms.max(failed_check_ms);
+        for ahead_ms in (0..count * interval_ms).step_by(333) {
+            let worst = worst_ms(count, SwallowedCalls::BegunAndWaiting, 600, ahead_ms);
+            assert!(
+                worst <= bound,
+                "{count} watchers, {ahead_ms} ms ahead: {worst} ms, bound {bound} ms"
+            );
+        }
+    }
+}
+
 /// With as many watchers as a large deployment has, no more calls are made than with few.
 #[test]
 fn the_interval_of_all_watchers_does_not_depend_on_their_number() {
