--- a/src/entry/server_connection.rs
+++ b/src/entry/server_connection.rs
@@ -61,7 +61,7 @@
         self.rejected.push(hash::of_name(id));
     }
 
-    /// Whether an answer with this id can only belong to a request that is sent from now on.
+    /// Whether a request with this id may be sent over the connection.
     #[must_use]
     pub fn may_carry(&self, id: &str) -> bool {
         !self.rejected.contains(&hash::of_name(id))
