A connection never carries a request id twice

A connection now remembers all ids that it carried, whatever came back, and is closed after 256 requests (8 bytes each). So no answer with the id of a request can be older than the request, also with other requests in between.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -172,7 +172,7 @@
 ) -> AttemptOutcome {
     let _slot = SlotGuard::at(server, host.clock());
     let must_be_fresh = !request.is_retryable;
-    // Answers to requests without an id can't be told apart, so each gets a connection of its own.
+    // A request without an id gets a new connection: its answer cannot be matched on a used one.
     let idle = request.id.as_deref().and_then(|id| {
         let mut pool = host.pool.borrow_mut();
         pool.take(&server.id, id, must_be_fresh, host.now())
@@ -278,7 +278,7 @@
         .period_of(server.incarnation_hash);
     let began = host.now();
     options.progress.on_sent(began);
-    let trace = connection.record.begin_send();
+    let trace = connection.record.begin_send(id);
     options.trace.set(Some(trace));
     let wait = host.begin_wait(server);
     let written = tokio::select! {
@@ -316,9 +316,6 @@
         return read_body(host, server, connection, head, body).await;
     };
     if matches!(outcome, AttemptOutcome::NotRun { .. }) {
-        if let Some(id) = id {
-            connection.record.on_rejected(id);
-        }
         discard_body(host, server, connection, head, body);
     }
     outcome
--- a/src/entry/server_connection.rs
+++ b/src/entry/server_connection.rs
@@ -2,8 +2,8 @@
 //!
 //! A faulty server may send a second copy of an answer, which arrives where the next answer is due.
 //! The request id tells them apart, unless both requests have the same id. A connection therefore
-//! never carries an id again that was rejected over it: a copy of the rejection would state that the
-//! second request did not run, while the server runs it.
+//! never carries an id twice: a copy of a rejection would state that the second request did not run,
+//! while the server runs it.
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -23,18 +23,16 @@
     pub record: ConnectionRecord,
 }
 
-/// Maximum number of rejected ids that a connection remembers. It is closed after that, since it may
-/// carry no id that it has forgotten.
-const MAX_REJECTED_IDS: usize = 64;
+/// Maximum number of requests that a connection carries. Their ids take 2 KB.
+const MAX_SENDS: usize = 256;
 
 /// What was sent over a connection.
 #[derive(Debug, Default)]
 pub struct ConnectionRecord {
     /// Identifies the connection in the log.
     local_port: u16,
-    sends: u32,
-    /// Hashes of the ids of requests that the server rejected.
-    rejected: Vec<u64>,
+    /// Hashes of the ids that it carried; 0 for a request without an id.
+    carried: Vec<u64>,
 }
 
 impl ConnectionRecord {
@@ -43,44 +41,38 @@
     pub const fn new(local_port: u16) -> Self {
         Self {
             local_port,
-            sends: 0,
-            rejected: Vec::new(),
+            carried: Vec::new(),
         }
     }
 
-    /// Records that the server stated that it did not run the request with this id.
+    /// Whether a request with this id may be sent over the connection.
     ///
     /// ```
     /// use ledgespool::entry::server_connection::ConnectionRecord;
     /// let mut record = ConnectionRecord::default();
-    /// record.on_rejected("r-1");
+    /// record.begin_send(Some("r-1"));
     /// assert!(!record.may_carry("r-1"));
     /// assert!(record.may_carry("r-2"));
     /// ```
-    pub fn on_rejected(&mut self, id: &str) {
-        self.rejected.push(hash::of_name(id));
-    }
-
-    /// Whether a request with this id may be sent over the connection.
     #[must_use]
     pub fn may_carry(&self, id: &str) -> bool {
-        !self.rejected.contains(&hash::of_name(id))
+        !self.carried.contains(&hash::of_name(id))
     }
 
     /// Whether the connection must be closed instead of being used again.
     #[must_use]
     pub const fn is_full(&self) -> bool {
-        self.rejected.len() >= MAX_REJECTED_IDS
+        self.carried.len() >= MAX_SENDS
     }
 
-    /// Counts a request that is about to be written; returns the trace of this send.
-    pub const fn begin_send(&mut self) -> SendTrace {
+    /// Records a request that is about to be written; returns the trace of this send.
+    pub fn begin_send(&mut self, id: Option<&str>) -> SendTrace {
         let trace = SendTrace {
             local_port: self.local_port,
-            earlier_sends: self.sends,
+            earlier_sends: u32::try_from(self.carried.len()).unwrap_or(u32::MAX),
             answer: None,
         };
-        self.sends = self.sends.saturating_add(1);
+        self.carried.push(id.map_or(0, hash::of_name));
         trace
     }
 }
