The reading of servers' answers has a module of its own

The answer's type, the reading and discarding of its body and the return of its connection move to server_answer.rs; no statement changes.

--- a/src/entry/attempts/failed_answer.rs
+++ b/src/entry/attempts/failed_answer.rs
@@ -1,9 +1,9 @@
 //! Retains the failure that a server answered with while another server is tried.
 
 use super::{AnsweredRequest, RequestAttempts};
-use crate::entry::exchange::ServerAnswer;
 use crate::entry::fleet_server::FleetServer;
 use crate::entry::request_failure::RequestFailure;
+use crate::entry::server_answer::ServerAnswer;
 use crate::entry::wire::WireProtocol;
 use crate::failed_answer::FailedAnswer;
 
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -2,9 +2,8 @@
 
 use std::{cell, rc, time};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt as _, Full};
-use hyper::body::{Body as _, Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
 
 use super::answer_outcome::{SentRequest, outcome_from_head};
 use super::departure::RequestProgress;
@@ -12,17 +11,12 @@
 use super::host::EntryHost;
 use super::pool;
 use super::send_gate::{SendPermit, ServerMessage, WithheldCause};
+use super::server_answer::{self, ServerAnswer};
 use super::server_connection::{SendTrace, ServerConnection};
 use super::server_limit::token::SendToken;
 use super::wire::WireProtocol;
 use crate::timer::{BootClock, Moment};
 
-/// Answers up to this size, in bytes, are buffered completely before the caller gets any byte, so
-/// that a truncated one can be retried on another server. The largest usual download is half of it.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
-/// How long the body of a refusal may take before its connection is closed.
-const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-
 /// A request in the form in which it is sent to backend servers.
 #[derive(Debug)]
 pub struct ForwardRequest {
@@ -40,17 +34,6 @@
     pub is_retryable: bool,
 }
 
-/// A server's answer to the request.
-#[derive(Debug)]
-pub struct ServerAnswer {
-    /// Status and headers.
-    pub head: http::response::Parts,
-    /// The part of the body that was read so far.
-    pub buffered: Bytes,
-    /// The unread part of a large body, and the connection that it arrives on.
-    pub remaining: Option<(Incoming, ServerConnection)>,
-}
-
 /// How an attempt to send a request to a server ended.
 #[derive(Debug)]
 pub enum AttemptOutcome {
@@ -313,10 +296,10 @@
     let (outcome, trace) = outcome_from_head(host, server, &sent, &head);
     options.trace.set(Some(trace));
     let Some(outcome) = outcome else {
-        return read_body(host, server, connection, head, body).await;
+        return server_answer::read_body(host, server, connection, head, body).await;
     };
     if matches!(outcome, AttemptOutcome::NotRun { .. }) {
-        discard_body(host, server, connection, head, body);
+        server_answer::discard_body(host, server, connection, head, body);
     }
     outcome
 }
@@ -335,91 +318,3 @@
         .write_forwarded(message.headers_mut(), time_left, &server.id);
     message
 }
-
-async fn read_body<W: WireProtocol>(
-    host: &EntryHost<W>,
-    server: &FleetServer,
-    connection: ServerConnection,
-    head: http::response::Parts,
-    body: Incoming,
-) -> AttemptOutcome {
-    let Ok((buffered, remaining)) = read_start(body).await else {
-        return AttemptOutcome::Lost(LossCause::Truncated);
-    };
-    let remaining = if let Some(remaining) = remaining {
-        Some((remaining, connection))
-    } else {
-        return_to_pool(host, server, connection, &head);
-        None
-    };
-    AttemptOutcome::Answered(Box::new(ServerAnswer {
-        head,
-        buffered,
-        remaining,
-    }))
-}
-
-/// Reads a small answer completely and the first part of a large one. Returns what was read, and
-/// the body if there is more.
-///
-/// # Errors
-/// When the connection breaks within the answer.
-pub(super) async fn read_start(
-    mut body: Incoming,
-) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
-    let mut buffered = BytesMut::new();
-    while buffered.len() <= MAX_BUFFERED_ANSWER_BYTES {
-        match body.frame().await {
-            Some(frame) => {
-                if let Ok(data) = frame?.into_data() {
-                    buffered.extend_from_slice(&data);
-                }
-            }
-            None => return Ok((buffered.freeze(), None)),
-        }
-    }
-    Ok((buffered.freeze(), Some(body)))
-}
-
-/// Reads and discards the small body of a refusal, so that the connection can be reused. The outcome
-/// of the attempt does not wait for it.
-fn discard_body<W: WireProtocol>(
-    host: &rc::Rc<EntryHost<W>>,
-    server: &rc::Rc<FleetServer>,
-    connection: ServerConnection,
-    head: http::response::Parts,
-    body: Incoming,
-) {
-    if body.is_end_stream() {
-        return return_to_pool(host, server, connection, &head);
-    }
-    let (host, server) = (rc::Rc::clone(host), rc::Rc::clone(server));
-    tokio::task::spawn_local(async move {
-        let body = http_body_util::Limited::new(body, MAX_BUFFERED_ANSWER_BYTES);
-        let whole = tokio::time::timeout(DISCARD_TIMEOUT, body.collect()).await;
-        if matches!(whole, Ok(Ok(_))) {
-            return_to_pool(&host, &server, connection, &head);
-        }
-    });
-}
-
-/// Returns a connection to the pool after its answer was read completely, unless the server closes
-/// it.
-pub fn return_to_pool<W: WireProtocol>(
-    host: &EntryHost<W>,
-    server: &FleetServer,
-    connection: ServerConnection,
-    head: &http::response::Parts,
-) {
-    let closes = head
-        .headers
-        .get(http::header::CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    if closes || !server.takes_work() {
-        return;
-    }
-    let keep_alive = host.wire.read_answer(&head.headers).keep_alive;
-    host.pool
-        .borrow_mut()
-        .put(&server.id, connection, keep_alive, host.now());
-}
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -10,12 +10,13 @@
 use super::message::{
     ANSWER, FAILURE, HANDOFF_HEADER, HandoffFailure, HandoffHead, HandoffRequest,
 };
-use crate::entry::exchange::{self, LossCause, ServerAnswer};
+use crate::entry::exchange::LossCause;
 use crate::entry::host::EntryHost;
 use crate::entry::open_request::OpenRequest;
 use crate::entry::peer_message;
 use crate::entry::peers::HandoffTarget;
 use crate::entry::request_failure::RequestFailure;
+use crate::entry::server_answer::{self, ServerAnswer};
 use crate::entry::server_connection::{ConnectionRecord, ServerConnection};
 use crate::entry::wire::WireProtocol;
 use crate::http_client::{self, ClientSender, ExchangeFault};
@@ -171,7 +172,7 @@
     body: Incoming,
 ) -> HandoffOutcome {
     head.headers.remove(HANDOFF_HEADER);
-    let Ok((buffered, remaining)) = exchange::read_start(body).await else {
+    let Ok((buffered, remaining)) = server_answer::read_start(body).await else {
         return HandoffOutcome::Lost(LossCause::Truncated);
     };
     let remaining = if let Some(remaining) = remaining {
--- a/src/entry/load_exchange_role.rs
+++ b/src/entry/load_exchange_role.rs
@@ -8,12 +8,12 @@
 
 use super::answer_claims::{AnswerClaims, AnswerTrust};
 use super::attempt_record::ExpectedAnswer;
-use super::exchange::ServerAnswer;
 use super::fleet_server::FleetServer;
 use super::gossip;
 use super::host::EntryHost;
 use super::peer_message::PeerMessage;
 use super::server::ServerLoad;
+use super::server_answer::ServerAnswer;
 use super::wire::WireProtocol;
 use crate::load_exchange::digest::{CachedObject, LoadDigest, ServerKey};
 use crate::load_exchange::estimate::{self, ServerReport};
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -89,6 +89,7 @@
 pub mod self_report;
 mod send_gate;
 pub mod server;
+pub mod server_answer;
 pub mod server_connection;
 pub mod server_header;
 pub mod server_limit;
--- a/src/entry/quarantine_role/mod.rs
+++ b/src/entry/quarantine_role/mod.rs
@@ -11,7 +11,6 @@
 use serde_json::json;
 use tokio::sync::Notify;
 
-use super::exchange::ServerAnswer;
 use super::fingerprint::RequestFingerprint;
 use super::fleet_server::FleetServer;
 use super::gossip;
@@ -24,6 +23,7 @@
 use super::quarantine::{
     MAX_RECORDS_PER_DATAGRAM, MAX_REQUESTS_PER_DATAGRAM, MAX_SUSPECTS, TRACKERS_PER_SUSPECT,
 };
+use super::server_answer::ServerAnswer;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::timer::Moment;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -26,6 +26,7 @@
 use super::quarantine_role;
 use super::request_failure::RequestFailure;
 use super::request_metrics::RouteLabel;
+use super::server_answer;
 use super::server_connection::ServerConnection;
 use super::wire::WireProtocol;
 use crate::connection_headers;
@@ -416,7 +417,7 @@
     } = stream;
     drop(slot);
     if complete {
-        exchange::return_to_pool(host, &server, connection, &head);
+        server_answer::return_to_pool(host, &server, connection, &head);
     } else {
         host.on_server_failure(&server);
         host.on_connection_failed(&server);
