Streamed answers have a module of their own

What holds a streamed answer, its guard and its end moves to streamed_answer.rs; the construction becomes StreamedAnswer::begin. No other statement changes.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -102,6 +102,7 @@
 mod store_epoch;
 pub mod store_position;
 mod store_updates;
+pub mod streamed_answer;
 pub mod update_fragment;
 pub mod urgency_role;
 pub mod view_age;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -2,32 +2,28 @@
 //!
 //! Every request is logged and counted once in the metrics, also if its caller disconnects first.
 
-use std::{net, rc, time};
+use std::{rc, time};
 
 use bytes::Bytes;
 use hyper::body::Incoming;
 use serde_json::json;
 
-use super::answer::{AnswerBody, StreamEnd};
+use super::answer::AnswerBody;
 use super::attempt_record::ExpectedAnswer;
 use super::attempts::{self, AnswerSource, AnsweredRequest};
 use super::configuration::RouteRule;
 use super::customer::CustomerRule;
 use super::decision_log::LogPriority;
 use super::departure::{CallerDeparture, LateWork, RequestPhase, RequestProgress};
-use super::exchange;
 use super::fingerprint::RequestFingerprint;
-use super::fleet_server::FleetServer;
 use super::handoff::message::HandoffRequest;
 use super::host::EntryHost;
 use super::metrics_page::RequestCompletion;
 use super::open_request::{OpenRequest, RequestTimes};
 use super::peers::HandoffTarget;
-use super::quarantine_role;
 use super::request_failure::RequestFailure;
 use super::request_metrics::RouteLabel;
-use super::server_answer;
-use super::server_connection::ServerConnection;
+use super::streamed_answer::StreamedAnswer;
 use super::wire::WireProtocol;
 use crate::connection_headers;
 use crate::event::EventCode;
@@ -242,7 +238,7 @@
 }
 
 /// Counts and logs a request that its caller left.
-fn on_caller_left<W: WireProtocol>(
+pub(super) fn on_caller_left<W: WireProtocol>(
     host: &EntryHost<W>,
     id: &str,
     route: RouteLabel<'_>,
@@ -277,7 +273,7 @@
 }
 
 /// Counts and logs work that did not end when its caller left.
-fn on_late_work<W: WireProtocol>(
+pub(super) fn on_late_work<W: WireProtocol>(
     host: &EntryHost<W>,
     id: &str,
     phase: RequestPhase,
@@ -295,7 +291,7 @@
     response
 }
 
-fn label_of(route: &RouteRule) -> RouteLabel<'_> {
+pub(super) fn label_of(route: &RouteRule) -> RouteLabel<'_> {
     RouteLabel {
         name: &route.name,
         priority: Some(route.priority),
@@ -310,121 +306,6 @@
     }
 }
 
-/// Releases the connection when a streamed answer ends.
-#[derive(Debug)]
-pub struct StreamedAnswer<W: WireProtocol> {
-    guard: AnswerGuard<W>,
-    connection: ServerConnection,
-    source: StreamSource,
-}
-
-/// Counts a streamed answer as open until it is dropped. Logs a departure if the caller leaves before
-/// the answer ends.
-#[derive(Debug)]
-struct AnswerGuard<W: WireProtocol> {
-    host: rc::Rc<EntryHost<W>>,
-    id: String,
-    route: rc::Rc<RouteRule>,
-    arrived: Moment,
-    progress: rc::Rc<RequestProgress>,
-    completed: bool,
-}
-
-impl<W: WireProtocol> AnswerGuard<W> {
-    fn begin(host: &rc::Rc<EntryHost<W>>, open: &OpenRequest) -> Self {
-        host.open_answers.set(host.open_answers.get() + 1);
-        open.progress.enter(RequestPhase::Answering);
-        Self {
-            host: rc::Rc::clone(host),
-            id: open.forward.id.clone().unwrap_or_default(),
-            route: rc::Rc::clone(&open.route),
-            arrived: open.arrived,
-            progress: rc::Rc::clone(&open.progress),
-            completed: false,
-        }
-    }
-
-    /// Records that the server's answer has ended.
-    fn complete(mut self) -> rc::Rc<EntryHost<W>> {
-        self.completed = true;
-        if let Some(work) = self.progress.late_work(self.host.now()) {
-            on_late_work(&self.host, &self.id, RequestPhase::Answering, work);
-        }
-        rc::Rc::clone(&self.host)
-    }
-}
-
-impl<W: WireProtocol> Drop for AnswerGuard<W> {
-    fn drop(&mut self) {
-        let others = self.host.open_answers.get().saturating_sub(1);
-        self.host.open_answers.set(others);
-        if !self.completed {
-            let route = label_of(&self.route);
-            on_caller_left(&self.host, &self.id, route, self.arrived, &self.progress);
-        }
-    }
-}
-
-/// Where a streamed answer comes from.
-#[derive(Debug)]
-enum StreamSource {
-    /// A server, whose slot is released at the end.
-    Server(Box<ServerStream>),
-    /// Another host, by its peer address.
-    Host(net::SocketAddr),
-}
-
-/// A streamed answer of a server.
-#[derive(Debug)]
-struct ServerStream {
-    server: rc::Rc<FleetServer>,
-    head: http::response::Parts,
-    slot: exchange::SlotGuard,
-    /// Of the request that is being answered.
-    fingerprint: RequestFingerprint,
-}
-
-impl<W: WireProtocol> Unpin for StreamedAnswer<W> {}
-
-impl<W: WireProtocol> StreamEnd for StreamedAnswer<W> {
-    fn on_end(self, complete: bool) {
-        let host = self.guard.complete();
-        match self.source {
-            StreamSource::Host(address) if complete => {
-                host.handoffs
-                    .put_connection(address, self.connection.sender, host.now());
-            }
-            // The next request to that host finds out whether it is still there.
-            StreamSource::Host(_broken) => {}
-            StreamSource::Server(stream) => {
-                on_server_stream_end(&host, *stream, self.connection, complete);
-            }
-        }
-    }
-}
-
-fn on_server_stream_end<W: WireProtocol>(
-    host: &rc::Rc<EntryHost<W>>,
-    stream: ServerStream,
-    connection: ServerConnection,
-    complete: bool,
-) {
-    let ServerStream {
-        server,
-        head,
-        slot,
-        fingerprint,
-    } = stream;
-    drop(slot);
-    if complete {
-        server_answer::return_to_pool(host, &server, connection, &head);
-    } else {
-        host.on_server_failure(&server);
-        host.on_connection_failed(&server);
-        quarantine_role::on_broken(host, &server, fingerprint);
-    }
-}
-
 fn forward_answer<W: WireProtocol>(
     host: &rc::Rc<EntryHost<W>>,
     open: &OpenRequest,
@@ -440,21 +321,12 @@
         Some((remaining, connection)) => AnswerBody::Streamed {
             buffered: Some(answer.buffered),
             remaining,
-            on_end: Some(StreamedAnswer {
-                guard: AnswerGuard::begin(host, open),
+            on_end: Some(StreamedAnswer::begin(
+                host,
+                open,
                 connection,
-                source: match source {
-                    AnswerSource::Host(target) => StreamSource::Host(target.address),
-                    AnswerSource::Server(server, _) => {
-                        StreamSource::Server(Box::new(ServerStream {
-                            slot: exchange::SlotGuard::at(&server, host.clock()),
-                            server,
-                            head: answer.head,
-                            fingerprint: open.fingerprint(),
-                        }))
-                    }
-                },
-            }),
+                (source, answer.head),
+            )),
         },
     };
     let mut response = http::Response::new(body);
