--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -90,6 +90,7 @@
 mod send_gate;
 pub mod server;
 pub mod server_answer;
+mod server_check;
 pub mod server_connection;
 pub mod server_header;
 pub mod server_limit;
