A rejection does not hide that an earlier attempt may have run

A request that may run twice was answered 503 if its first server ran it and lost the answer, and its second one rejected it: the failure of the last attempt was the failure of all. 503 is a promise that the request "has not run and never will" (PROTOCOL.md).

A failure after which the request may have run now stays until another attempt is answered, also if a host that it was handed over to refuses it. Test, red before ("ran and was answered 503"): a_rejection_does_not_hide_that_an_earlier_attempt_may_have_run.

--- a/src/entry/attempts/handoff.rs
+++ b/src/entry/attempts/handoff.rs
@@ -64,7 +64,7 @@
                 self.log_handoff_failed(target, reason);
                 self.avoid(target);
             }
-            HandoffOutcome::Failed(failure) => return Err(failure),
+            HandoffOutcome::Failed(failure) => return Err(self.combined_failure(failure)),
             HandoffOutcome::Lost(cause) => {
                 self.log_handoff_failed(target, cause.as_str());
                 self.avoid(target);
--- a/src/entry/attempts/outcome.rs
+++ b/src/entry/attempts/outcome.rs
@@ -149,7 +149,16 @@
 
     pub(super) const fn record_sent(&mut self, failure: RequestFailure) {
         self.sent += 1;
-        self.last = Some(failure);
+        self.last = Some(self.combined_failure(failure));
+    }
+
+    /// The failure of all attempts, of which the last one failed with `failure`: that it did not run
+    /// says nothing of an earlier one that may have.
+    pub(super) const fn combined_failure(&self, failure: RequestFailure) -> RequestFailure {
+        match self.last {
+            Some(earlier) if earlier.may_have_run() && !failure.may_have_run() => earlier,
+            _ => failure,
+        }
     }
 
     pub(super) fn not_run(&self) -> RequestFailure {
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Whether a server may have run the request.
+    pub(super) const fn may_have_run(self) -> bool {
+        matches!(
+            self.completion,
+            RequestCompletion::Lost | RequestCompletion::TimedOut
+        )
+    }
+
     /// Adds the number of free slots, for the log.
     pub(super) const fn with_free_slots(self, free_slots: u32) -> Self {
         Self {
