--- /dev/null
+++ b/review/standins-2/deployment.rs
@@ -0,0 +1,93 @@
+//! The parts that several cases share: a store, a configuration, backends and one host.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::Run;
+use crate::backend::Backend;
+use crate::json::Json;
+use crate::process::{self, Host, HostPlan};
+use crate::store::Store;
+
+pub const IP: Ipv4Addr = Ipv4Addr::LOCALHOST;
+
+/// Longer than `contact` of the deployments, so that a started host is in touch.
+pub const CONTACT: Duration = Duration::from_millis(4_500);
+
+/// What a backend writes to the store about itself.
+pub fn entry(address: SocketAddr, zone: &str, slots: u32, state: &str, sequence: u64) -> Json {
+    let text = format!(
+        r#"{{"address":"{address}","info":{{"service":"desk","version":"v1","zone":"{zone}","slots":{slots}}},"status":{{"state":"{state}","seq":{sequence},"cold":"0ms"}}}}"#
+    );
+    Json::parse(&text).expect("it is JSON")
+}
+
+/// The zones of the hosts.
+pub fn process_zones() -> impl Iterator<Item = &'static str> {
+    process::ZONES.iter().map(|(zone, _)| *zone)
+}
+
+/// One route of the configuration.
+pub struct Route {
+    pub prefix: &'static str,
+    pub kind: &'static str,
+    pub timeout_ms: u64,
+    pub goal_ms: u64,
+}
+
+/// A configuration with one service, `desk`.
+pub fn configuration(version: u32, routes: &[Route]) -> Json {
+    let routes: Vec<String> = routes
+        .iter()
+        .map(|route| {
+            let Route { prefix, kind, timeout_ms, goal_ms } = route;
+            format!(
+                r#"{{"name":"r{}","host":"desk.example","path_prefix":"{prefix}","type":"{kind}","timeout":"{timeout_ms}ms","goal":"{goal_ms}ms","priority":1,"service":"desk","attempts":2,"sticky":false,"home_regions":[]}}"#,
+                prefix.replace('/', "-")
+            )
+        })
+        .collect();
+    let text = format!(
+        r#"{{"version":"{version:08x}","routes":[{}],"services":[{{"name":"desk","health_path":"/health","max_conns":330,"protocol":"h1","tls":false,"warmup":"3s","cold_per_s":3.5}}],"limits":{{"header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle":"15000ms"}},"base_version":"00000001"}}"#,
+        routes.join(",")
+    );
+    Json::parse(&text).expect("it is JSON")
+}
+
+/// One host with its store and backends.
+pub struct Deployment {
+    pub store: Store,
+    pub backends: Vec<Backend>,
+    pub host: Host,
+}
+
+impl Deployment {
+    /// Starts the store, `backends` backends of `desk` and the host, and waits until it is ready.
+    pub fn start(run: &Run<'_>, routes: &[Route], backends: usize, slots: u32) -> Result<Self, String> {
+        let store = Store::start(IP);
+        store.put("config", "main", &configuration(2, routes));
+        let record = run.record.clone();
+        let log: Arc<dyn Fn(String) + Send + Sync> = Arc::new(move |text| record.line(text));
+        let backends: Vec<Backend> = (0..backends)
+            .map(|number| {
+                let id = format!("i-{number}");
+                Backend::start(IP, (&id, "east-1"), slots, Arc::clone(&log))
+            })
+            .collect();
+        for backend in &backends {
+            store.put("servers", &backend.id, &backend.entry("ready", 1));
+        }
+        let port = process::free_udp_port(&[IP]);
+        let plan = HostPlan::new("entry-1", "east-1", IP, port, store.address);
+        let host = Host::start(&plan, run.temporary);
+        host.wait_until_ready()?;
+        std::thread::sleep(CONTACT);
+        run.record.line("entry-1 is ready");
+        Ok(Self {
+            store,
+            backends,
+            host,
+        })
+    }
+}
