--- a/review/standins-2/backend.rs
+++ b/review/standins-2/backend.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::Read as _;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,16 +16,6 @@
 /// The pause between two pieces of an answer.
 const PIECE_PAUSE: Duration = Duration::from_millis(100);
 
-/// What happened to a request at the backend.
-#[derive(Debug, Clone)]
-pub struct Arrival {
-    pub id: String,
-    pub at: Instant,
-    pub ran: bool,
-    /// Whether the whole answer was written.
-    pub answered: bool,
-}
-
 /// A running backend.
 #[derive(Clone)]
 pub struct Backend {
@@ -33,7 +23,6 @@
     pub zone: String,
     pub address: SocketAddr,
     slots: u32,
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
     log: Arc<dyn Fn(String) + Send + Sync>,
 }
 
@@ -47,10 +36,9 @@
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let backend = Self {
             id: id.to_owned(),
-                zone: zone.to_owned(),
+            zone: zone.to_owned(),
             address: listener.local_addr().expect("its address"),
             slots,
-            arrivals: Arc::default(),
             log,
         };
         let serving = backend.clone();
@@ -68,10 +56,6 @@
         deployment::entry(self.address, &self.zone, self.slots, state, sequence)
     }
 
-    pub fn arrivals(&self) -> Vec<Arrival> {
-        self.arrivals.lock().expect("no writer panicked").clone()
-    }
-
     fn serve(&self, mut connection: Connection) {
         while let Ok(Some(mut request)) = connection.read_head() {
             connection.read_body(&mut request);
@@ -95,18 +79,11 @@
         let is_meant = request
             .header("target-instance")
             .is_none_or(|target| target == self.id);
-        let place = {
-            let mut arrivals = self.arrivals.lock().expect("no writer panicked");
-            arrivals.push(Arrival {
-                id: id.clone(),
-                at: arrived,
-                ran: is_meant,
-                answered: false,
-            });
-            arrivals.len() - 1
-        };
         if !is_meant {
-            (self.log)(format!("{} turns {id} away: another instance is meant", self.id));
+            (self.log)(format!(
+                "{} turns {id} away: another instance is meant",
+                self.id
+            ));
             let head = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 self.id
@@ -116,16 +93,15 @@
         let length = request.body.len();
         (self.log)(format!("{} runs {id} (body of {length} bytes)", self.id));
         let deadline = request.header("request-deadline");
-        let deadline = deadline.and_then(|text| text.parse().ok()).unwrap_or(60_000);
+        let deadline = deadline
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(60_000);
         let deadline = arrived + Duration::from_millis(deadline);
         let sent = self.send_answer(connection, request, &id, deadline);
         if sent.is_none() {
             (self.log)(format!("{} could not answer {id} to the end", self.id));
             return None;
         }
-        let mut arrivals = self.arrivals.lock().expect("no writer panicked");
-        arrivals[place].answered = true;
-        drop(arrivals);
         (self.log)(format!("{} has answered {id}", self.id));
         Some(())
     }
@@ -143,7 +119,11 @@
             if has_left(connection) {
                 return None;
             }
-            thread::sleep(until.saturating_duration_since(Instant::now()).min(PIECE_PAUSE));
+            thread::sleep(
+                until
+                    .saturating_duration_since(Instant::now())
+                    .min(PIECE_PAUSE),
+            );
         }
         if Instant::now() >= deadline {
             let head = format!(
@@ -189,7 +169,8 @@
     let _set = stream.set_nonblocking(true);
     let peeked = stream.peek(&mut byte);
     let _set = stream.set_nonblocking(false);
-    matches!(peeked, Ok(0)) || peeked.is_err_and(|fault| fault.kind() != std::io::ErrorKind::WouldBlock)
+    matches!(peeked, Ok(0))
+        || peeked.is_err_and(|fault| fault.kind() != std::io::ErrorKind::WouldBlock)
 }
 
 struct Wish {
--- a/review/standins-2/case_memory.rs
+++ b/review/standins-2/case_memory.rs
@@ -57,7 +57,9 @@
         .iter()
         .zip(deployment::process_zones())
         .enumerate()
-        .map(|(place, (ip, zone))| HostPlan::new(&format!("entry-{place}"), zone, *ip, port, store.address))
+        .map(|(place, (ip, zone))| {
+            HostPlan::new(&format!("entry-{place}"), zone, *ip, port, store.address)
+        })
         .collect();
     let seeds: Vec<SocketAddr> = plans.iter().map(|plan| plan.control).collect();
     for plan in &mut plans {
@@ -74,16 +76,26 @@
         }));
     }
     for plan in &plans {
-        process::wait_for("a host is ready", Duration::from_secs(20), || is_ready(plan))?;
+        process::wait_for("a host is ready", Duration::from_secs(20), || {
+            is_ready(plan)
+        })?;
     }
     thread::sleep(deployment::CONTACT);
-    let at_once = if run.trouble { BURST_AT_ONCE } else { USUAL_AT_ONCE };
+    let at_once = if run.trouble {
+        BURST_AT_ONCE
+    } else {
+        USUAL_AT_ONCE
+    };
     let mut cut = 0;
     for round in 1..=ROUNDS {
         for plan in &plans {
-            process::wait_for("a host is ready", Duration::from_secs(20), || is_ready(plan))?;
+            process::wait_for("a host is ready", Duration::from_secs(20), || {
+                is_ready(plan)
+            })?;
         }
-        run.record.line(format!("round {round}: {at_once} clients at each host send bodies of 20 MiB"));
+        run.record.line(format!(
+            "round {round}: {at_once} clients at each host send bodies of 20 MiB"
+        ));
         let clients: Vec<_> = plans
             .iter()
             .flat_map(|plan| (0..at_once).map(move |number| (plan.clone(), number)))
@@ -104,7 +116,9 @@
     for platform in platforms {
         watched.push(platform.join().map_err(|_| "the platform failed")?);
     }
-    run.record.line(format!("{watched:?}, {cut} requests ended with a closed connection"));
+    run.record.line(format!(
+        "{watched:?}, {cut} requests ended with a closed connection"
+    ));
     if watched.iter().filter(|host| host.ends >= ENDS).count() >= 2 {
         return Ok(Verdict::Broken(format!(
             "on two of two hosts the process was over its memory three times, and {cut} requests ended with no answer"
@@ -156,11 +170,16 @@
     let Some(mut connection) = client::connect(plan.front) else {
         return End::Cut("no connection".to_owned());
     };
-    let _set = connection.stream().set_read_timeout(Some(Duration::from_secs(20)));
+    let _set = connection
+        .stream()
+        .set_read_timeout(Some(Duration::from_secs(20)));
     let end = match connection.write(&request.bytes()) {
         Ok(()) => client::read_answer(&mut connection, id),
         Err(fault) => End::Cut(format!("while it was sent: {fault}")),
     };
-    record.line(format!("{id} ends at the client after {:.1?}: {end:?}", sent.elapsed()));
+    record.line(format!(
+        "{id} ends at the client after {:.1?}: {end:?}",
+        sent.elapsed()
+    ));
     end
 }
--- a/review/standins-2/case_pipeline.rs
+++ b/review/standins-2/case_pipeline.rs
@@ -1,4 +1,5 @@
-//! A host is told to stop while a client has several requests on one connection.
+//! A host is told to stop while a client has several requests on one connection, as the clients of
+//! `paycode-read` of the deployment corrie-pay-grown do.
 
 use std::net::SocketAddr;
 use std::thread;
@@ -19,23 +20,35 @@
         timeout_ms: 30_000,
         goal_ms: 8_000,
     }];
-    let deployment = Deployment::start(run, &routes, 3, 3)?;
+    let deployment = Deployment::start(run, &routes, (3, 9), 3_000)?;
     let front = deployment.host.plan.front;
     let mut connection = client::connect(front).ok_or("no connection")?;
-    let own = connection.stream().local_addr().map_err(|fault| fault.to_string())?;
-    let _set = connection.stream().set_read_timeout(Some(Duration::from_secs(30)));
+    let own = connection
+        .stream()
+        .local_addr()
+        .map_err(|fault| fault.to_string())?;
+    let _set = connection
+        .stream()
+        .set_read_timeout(Some(Duration::from_secs(30)));
     let ids: Vec<String> = (1..=REQUESTS).map(|number| format!("p-{number}")).collect();
     let mut bytes = Vec::new();
     for id in &ids {
         bytes.extend(Request::get("/codes/one?work=1000", id, 30_000).bytes());
     }
-    connection.write(&bytes).map_err(|fault| fault.to_string())?;
+    connection
+        .write(&bytes)
+        .map_err(|fault| fault.to_string())?;
     let sent = Instant::now();
-    run.record.line(format!("the client sends {} on one connection", ids.join(", ")));
+    run.record.line(format!(
+        "the client sends {} on one connection",
+        ids.join(", ")
+    ));
     thread::sleep(Duration::from_millis(500));
     // What the process has not read yet waits in the receive queue of its socket.
     let unread = unread_bytes(front, own).ok_or("the connection is not listed")?;
-    run.record.line(format!("entry-1 has {unread} unread bytes of the connection"));
+    run.record.line(format!(
+        "entry-1 has {unread} unread bytes of the connection"
+    ));
     if unread > 0 {
         return Err("the host has not read the requests".to_owned());
     }
@@ -69,7 +82,8 @@
     let (server, client) = (kernel_form(server)?, kernel_form(client)?);
     table.lines().find_map(|line| {
         let words: Vec<&str> = line.split_whitespace().collect();
-        let is_it = words.get(1) == Some(&server.as_str()) && words.get(2) == Some(&client.as_str());
+        let is_it =
+            words.get(1) == Some(&server.as_str()) && words.get(2) == Some(&client.as_str());
         let (_, unread) = words.get(4)?.split_once(':')?;
         is_it.then(|| u64::from_str_radix(unread, 16).ok())?
     })
--- a/review/standins-2/case_stall.rs
+++ b/review/standins-2/case_stall.rs
@@ -34,7 +34,11 @@
     let log: Arc<dyn Fn(String) + Send + Sync> = Arc::new(move |text| record.line(text));
     let names = ("i-0", "east-1");
     let silent = BackendProcess::start(IP, names, 9, &run.record);
-    store.put("servers", "i-0", &deployment::entry(silent.address, "east-1", 9, "ready", 1));
+    store.put(
+        "servers",
+        "i-0",
+        &deployment::entry(silent.address, "east-1", 9, "ready", 1),
+    );
     let _others: Vec<Backend> = (1..BACKENDS)
         .map(|number| {
             let id = format!("i-{number}");
@@ -63,11 +67,16 @@
                 let Some(mut connection) = client::connect(front) else {
                     return (End::Cut("no connection".to_owned()), Duration::ZERO);
                 };
-                let _set = connection.stream().set_read_timeout(Some(Duration::from_secs(6)));
+                let _set = connection
+                    .stream()
+                    .set_read_timeout(Some(Duration::from_secs(6)));
                 let request = Request::get(path, &id, 6_000);
                 let _written = connection.write(&request.bytes());
                 let end = client::read_answer(&mut connection, &id);
-                record.line(format!("{id} ends at the client after {:.2?}: {end:?}", sent.elapsed()));
+                record.line(format!(
+                    "{id} ends at the client after {:.2?}: {end:?}",
+                    sent.elapsed()
+                ));
                 (end, sent.elapsed())
             })
         })
@@ -98,7 +107,9 @@
         )));
     }
     if run.trouble && unanswered < MIN_REQUESTS && still > 0 {
-        return Err(format!("only {unanswered} requests were open at the timeout"));
+        return Err(format!(
+            "only {unanswered} requests were open at the timeout"
+        ));
     }
     Ok(Verdict::Held)
 }
--- a/review/standins-2/case_stream.rs
+++ b/review/standins-2/case_stream.rs
@@ -22,14 +22,18 @@
         timeout_ms: 20_000,
         goal_ms: 6_000,
     }];
-    let mut deployment = Deployment::start(run, &routes, 3, 3)?;
-    // 4 MiB at 10 Mbit/s after the first 1.5 MiB: about 2.2 s more.
+    let mut deployment = Deployment::start(run, &routes, (3, 3), 2_000)?;
+    // After the first 1.5 MiB, 10 Mbit/s.
     let path = "/pull/archive?work=200&bytes=6291456&first=1572864&pace=131072";
     let request = Request::get(path, "d-1", 20_000);
     let mut connection = client::connect(deployment.host.plan.front).ok_or("no connection")?;
-    let _set = connection.stream().set_read_timeout(Some(Duration::from_secs(20)));
+    let _set = connection
+        .stream()
+        .set_read_timeout(Some(Duration::from_secs(20)));
     run.record.line("the client sends d-1, a download of 6 MiB");
-    connection.write(&request.bytes()).map_err(|fault| fault.to_string())?;
+    connection
+        .write(&request.bytes())
+        .map_err(|fault| fault.to_string())?;
     let record = run.record.clone();
     let reader = thread::spawn(move || {
         let end = client::read_answer(&mut connection, "d-1");
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -68,7 +68,7 @@
     /// The connection ended with no complete answer.
     Cut(String),
     /// The client's time was over.
-    Deadline(String),
+    Deadline,
 }
 
 impl End {
@@ -80,12 +80,15 @@
 /// Reads the answer to a request that was sent on `connection`.
 pub fn read_answer(connection: &mut Connection, id: &str) -> End {
     let is_timeout = |kind: std::io::ErrorKind| {
-        matches!(kind, std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+        matches!(
+            kind,
+            std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+        )
     };
     let mut answer = match connection.read_head() {
         Ok(Some(answer)) => answer,
         Ok(None) => return End::Cut("the connection was closed before an answer".to_owned()),
-        Err(fault) if is_timeout(fault.kind()) => return End::Deadline("no answer".to_owned()),
+        Err(fault) if is_timeout(fault.kind()) => return End::Deadline,
         Err(fault) => return End::Cut(format!("before an answer: {fault}")),
     };
     connection.read_body(&mut answer);
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -23,6 +23,14 @@
     Json::parse(&text).expect("it is JSON")
 }
 
+/// An entry of another writer: the fields `version`, `seq` and `cold` are missing.
+pub fn partial_entry(address: SocketAddr, zone: &str, slots: u32) -> Json {
+    let text = format!(
+        r#"{{"address":"{address}","info":{{"service":"desk","zone":"{zone}","slots":{slots}}},"status":{{"state":"ready"}}}}"#
+    );
+    Json::parse(&text).expect("it is JSON")
+}
+
 /// The zones of the hosts.
 pub fn process_zones() -> impl Iterator<Item = &'static str> {
     process::ZONES.iter().map(|(zone, _)| *zone)
@@ -57,14 +65,19 @@
 
 /// One host with its store and backends.
 pub struct Deployment {
-    pub store: Store,
-    pub backends: Vec<Backend>,
+    _store: Store,
+    _backends: Vec<Backend>,
     pub host: Host,
 }
 
 impl Deployment {
     /// Starts the store, `backends` backends of `desk` and the host, and waits until it is ready.
-    pub fn start(run: &Run<'_>, routes: &[Route], backends: usize, slots: u32) -> Result<Self, String> {
+    pub fn start(
+        run: &Run<'_>,
+        routes: &[Route],
+        (backends, slots): (usize, u32),
+        leave_ms: u64,
+    ) -> Result<Self, String> {
         let store = Store::start(IP);
         store.put("config", "main", &configuration(2, routes));
         let record = run.record.clone();
@@ -79,14 +92,17 @@
             store.put("servers", &backend.id, &backend.entry("ready", 1));
         }
         let port = process::free_udp_port(&[IP]);
-        let plan = HostPlan::new("entry-1", "east-1", IP, port, store.address);
+        let plan = HostPlan {
+            leave_ms,
+            ..HostPlan::new("entry-1", "east-1", IP, port, store.address)
+        };
         let host = Host::start(&plan, run.temporary);
         host.wait_until_ready()?;
         std::thread::sleep(CONTACT);
         run.record.line("entry-1 is ready");
         Ok(Self {
-            store,
-            backends,
+            _store: store,
+            _backends: backends,
             host,
         })
     }
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -34,6 +34,17 @@
         }
     }
 
+    /// The value without `seq` in the status of a backend.
+    pub fn without_sequence(&self) -> Self {
+        let mut value = self.clone();
+        if let Self::Object(fields) = &mut value
+            && let Some(Self::Object(status)) = fields.get_mut("status")
+        {
+            status.remove("seq");
+        }
+        value
+    }
+
     pub fn text(&self) -> Option<&str> {
         match self {
             Self::Text(text) => Some(text),
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scripts of the second independent review. Usage: `standins CASE FOLDER`.
 
 mod backend;
+mod case_late_beat;
 mod case_memory;
 mod case_pipeline;
 mod case_stall;
@@ -16,6 +17,8 @@
 use std::path::Path;
 use std::time::Duration;
 
+use crate::case_late_beat::Cause;
+
 /// What a case found.
 pub enum Verdict {
     Held,
@@ -59,6 +62,8 @@
         "stream" => case_stream::run(&run),
         "stall" => case_stall::run(&run),
         "memory" => case_memory::run(&run),
+        "late-beat" => case_late_beat::run(&run, Cause::LateWrite),
+        "partial-entry" => case_late_beat::run(&run, Cause::OtherWriter),
         "pipeline" => case_pipeline::run(&run),
         other => Err(format!("there is no case {other}")),
     };
--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -45,10 +45,6 @@
         Self { child }
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     pub fn signal(&self, name: &str) {
         signal(self.child.id(), name);
     }
@@ -63,7 +59,10 @@
         let text = text.unwrap_or_default();
         let line = text.lines().find(|line| line.starts_with("VmRSS:"));
         let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
-        kilobytes.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) / 1024
+        kilobytes
+            .and_then(|text| text.parse::<u64>().ok())
+            .unwrap_or(0)
+            / 1024
     }
 
     pub fn kill(&mut self) {
@@ -93,13 +92,21 @@
     pub heartbeat_port: u16,
     pub seeds: Vec<SocketAddr>,
     pub store: SocketAddr,
+    /// `drain` and `config`, which are equal in the deployments.
+    pub leave_ms: u64,
 }
 
 /// The zones of the deployments, with their regions.
 pub const ZONES: [(&str, &str); 2] = [("east-1", "east"), ("east-2", "east")];
 
 impl HostPlan {
-    pub fn new(name: &str, zone: &str, ip: Ipv4Addr, heartbeat_port: u16, store: SocketAddr) -> Self {
+    pub fn new(
+        name: &str,
+        zone: &str,
+        ip: Ipv4Addr,
+        heartbeat_port: u16,
+        store: SocketAddr,
+    ) -> Self {
         let control = free_port(ip);
         Self {
             name: name.to_owned(),
@@ -111,18 +118,23 @@
             heartbeat_port,
             seeds: vec![control],
             store,
+            leave_ms: 2_000,
         }
     }
 
     /// The settings as the platform fills in the template of the deploy file, with the bounds of the
-    /// deployment hvhr-ledge.
+    /// deployment hvhr-ledge unless `leave_ms` says otherwise.
     fn settings(&self) -> String {
         let region = ZONES.iter().find(|(zone, _)| *zone == self.zone);
         let halls: Vec<String> = ZONES
             .iter()
             .map(|(zone, region)| format!("{{ \"name\": \"{zone}\", \"region\": \"{region}\" }}"))
             .collect();
-        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<String> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         format!(
             r#"{{
   "name": "{}",
@@ -142,8 +154,8 @@
   "processor_share": 0.2,
   "link_mbps": 1000.0,
   "stop_grace": "6s",
-  "leave_time": "2000ms",
-  "configuration_time": "2000ms",
+  "leave_time": "{}ms",
+  "configuration_time": "{}ms",
   "evacuation_time": "5000ms",
   "time_to_live_max": "5s",
   "retry_ratio": 0.2,
@@ -167,6 +179,8 @@
             self.heartbeat_port,
             seeds.join(", "),
             self.store,
+            self.leave_ms,
+            self.leave_ms,
         )
     }
 }
@@ -222,6 +236,7 @@
 pub struct BackendProcess {
     pub process: Process,
     pub address: SocketAddr,
+    lines: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
 impl BackendProcess {
@@ -236,18 +251,44 @@
         let output = process.child.stdout.take().expect("its output");
         let mut lines = BufReader::new(output).lines().map_while(Result::ok);
         let first = lines.next().expect("its first line");
-        let address = first.strip_prefix("address ").and_then(|text| text.parse().ok());
+        let address = first
+            .strip_prefix("address ")
+            .and_then(|text| text.parse().ok());
         let record = record.clone();
-        thread::spawn(move || lines.for_each(|line| record.line(line)));
+        let seen: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+        let known = Arc::clone(&seen);
+        thread::spawn(move || {
+            for line in lines {
+                record.line(&line);
+                known
+                    .lock()
+                    .expect("no reader panicked")
+                    .push((Instant::now(), line));
+            }
+        });
         Self {
             process,
             address: address.expect("its address"),
+            lines: seen,
         }
     }
+
+    /// When it began to run requests since `from`.
+    pub fn runs_since(&self, from: Instant) -> Vec<Instant> {
+        let lines = self.lines.lock().expect("no writer panicked");
+        let runs = lines
+            .iter()
+            .filter(|(at, line)| *at > from && line.contains(" runs "));
+        runs.map(|(at, _)| *at).collect()
+    }
 }
 
 /// Waits until `is_met` holds.
-pub fn wait_for(what: &str, limit: Duration, mut is_met: impl FnMut() -> bool) -> Result<(), String> {
+pub fn wait_for(
+    what: &str,
+    limit: Duration,
+    mut is_met: impl FnMut() -> bool,
+) -> Result<(), String> {
     let until = Instant::now() + limit;
     while !is_met() {
         if Instant::now() >= until {
@@ -268,7 +309,10 @@
     for _ in 0..100 {
         let first = UdpSocket::bind((ips[0], 0)).expect("a free port");
         let port = first.local_addr().expect("its address").port();
-        if ips[1..].iter().all(|ip| UdpSocket::bind((*ip, port)).is_ok()) {
+        if ips[1..]
+            .iter()
+            .all(|ip| UdpSocket::bind((*ip, port)).is_ok())
+        {
             return port;
         }
     }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -55,12 +55,13 @@
         store
     }
 
-    /// Writes an object as the operator or a backend does. A write that changes nothing raises no
-    /// revision and no event.
+    /// Writes an object as the operator or a backend does. A write that changes nothing, or only a
+    /// backend's `seq`, raises no revision and no event.
     pub fn put(&self, kind: &str, name: &str, spec: &Json) {
         let mut state = self.shared.0.lock().expect("no writer panicked");
         let key = (kind.to_owned(), name.to_owned());
-        if state.objects.get(&key).is_some_and(|known| known.spec == *spec) {
+        let known = state.objects.get(&key);
+        if known.is_some_and(|known| known.spec.without_sequence() == spec.without_sequence()) {
             return;
         }
         state.write(key, spec.clone());
@@ -139,7 +140,10 @@
             let events = events.filter(|event| event.kind == kind && event.revision > since);
             let events: Vec<String> = events
                 .map(|event| {
-                    format!("{{\"deleted\":{},\"object\":{}}}", event.deleted, event.object)
+                    format!(
+                        "{{\"deleted\":{},\"object\":{}}}",
+                        event.deleted, event.object
+                    )
                 })
                 .collect();
             let left = due.saturating_duration_since(Instant::now());
