--- a/review/standins-2/backend.rs
+++ b/review/standins-2/backend.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeMap;
 use std::io::Read as _;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     slots: u32,
     log: Arc<dyn Fn(String) + Send + Sync>,
+    /// The address of a machine whose connections are reset.
+    cut_off: Arc<Mutex<Option<IpAddr>>>,
 }
 
 impl Backend {
@@ -40,6 +42,7 @@
             address: listener.local_addr().expect("its address"),
             slots,
             log,
+            cut_off: Arc::default(),
         };
         let serving = backend.clone();
         thread::spawn(move || {
@@ -56,8 +59,26 @@
         deployment::entry(self.address, &self.zone, self.slots, state, sequence)
     }
 
+    /// Partitions the backend from the machine with this address.
+    pub fn cut_off(&self, machine: IpAddr) {
+        *self.cut_off.lock().expect("no writer panicked") = Some(machine);
+    }
+
     fn serve(&self, mut connection: Connection) {
+        let peer = connection
+            .stream()
+            .peer_addr()
+            .map(|address| address.ip())
+            .ok();
+        let is_cut_off =
+            || peer.is_some() && *self.cut_off.lock().expect("no writer panicked") == peer;
+        if is_cut_off() {
+            return;
+        }
         while let Ok(Some(mut request)) = connection.read_head() {
+            if is_cut_off() {
+                return;
+            }
             connection.read_body(&mut request);
             if !request.whole || self.answer(&mut connection, &request).is_none() {
                 return;
@@ -91,7 +112,12 @@
             return connection.write(head.as_bytes()).ok();
         }
         let length = request.body.len();
-        (self.log)(format!("{} runs {id} (body of {length} bytes)", self.id));
+        let peer = connection.stream().peer_addr();
+        let peer = peer.map_or_else(|_| "?".to_owned(), |address| address.ip().to_string());
+        (self.log)(format!(
+            "{} runs {id} from {peer} (body of {length} bytes)",
+            self.id
+        ));
         let deadline = request.header("request-deadline");
         let deadline = deadline
             .and_then(|text| text.parse().ok())
--- a/review/standins-2/case_late_beat.rs
+++ b/review/standins-2/case_late_beat.rs
@@ -155,7 +155,7 @@
                 let _written = connection.write(&request.bytes());
                 let end = client::read_answer(&mut connection, &id);
                 if !end.is_success() {
-                    record.line(format!("{id} ends at the client: {end:?}"));
+                    record.line(format!("{id} ends at the client: {}", end.text()));
                 }
                 end
             }));
--- a/review/standins-2/case_pipeline.rs
+++ b/review/standins-2/case_pipeline.rs
@@ -59,7 +59,8 @@
     let mut lost = Vec::new();
     for id in &ids {
         let end = client::read_answer(&mut connection, id);
-        run.record.line(format!("{id} ends at the client: {end:?}"));
+        run.record
+            .line(format!("{id} ends at the client: {}", end.text()));
         match end {
             End::Answer(_) => {}
             End::Cut(_) if sent.elapsed() > LOSS_SLACK => lost.push(id.as_str()),
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -72,6 +72,15 @@
 }
 
 impl End {
+    /// What is said in a record.
+    pub fn text(&self) -> String {
+        match self {
+            Self::Answer(status) => format!("answered {status}"),
+            Self::Cut(how) => format!("cut, {how}"),
+            Self::Deadline => "no answer in the client's time".to_owned(),
+        }
+    }
+
     pub fn is_success(&self) -> bool {
         matches!(self, Self::Answer(200))
     }
