--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -1,14 +1,9 @@
-//! The parts that several cases share: a store, a configuration, backends and one host.
+//! The parts that several cases share.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::Run;
-use crate::backend::Backend;
 use crate::json::Json;
-use crate::process::{self, Host, HostPlan};
-use crate::store::Store;
 
 pub const IP: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
@@ -69,48 +64,3 @@
     );
     Json::parse(&text).expect("it is JSON")
 }
-
-/// One host with its store and backends.
-pub struct Deployment {
-    _store: Store,
-    _backends: Vec<Backend>,
-    pub host: Host,
-}
-
-impl Deployment {
-    /// Starts the store, `backends` backends of `desk` and the host, and waits until it is ready.
-    pub fn start(
-        run: &Run<'_>,
-        routes: &[Route],
-        (backends, slots): (usize, u32),
-        leave_ms: u64,
-    ) -> Result<Self, String> {
-        let store = Store::start(IP);
-        store.put("config", "main", &configuration(2, routes));
-        let record = run.record.clone();
-        let log: Arc<dyn Fn(String) + Send + Sync> = Arc::new(move |text| record.line(text));
-        let backends: Vec<Backend> = (0..backends)
-            .map(|number| {
-                let id = format!("i-{number}");
-                Backend::start(IP, (&id, "east-1"), slots, Arc::clone(&log))
-            })
-            .collect();
-        for backend in &backends {
-            store.put("servers", &backend.id, &backend.entry("ready", 1));
-        }
-        let port = process::free_udp_port(&[IP]);
-        let plan = HostPlan {
-            leave_ms,
-            ..HostPlan::new("entry-1", "east-1", IP, port, store.address)
-        };
-        let host = Host::start(&plan, run.temporary);
-        host.wait_until_ready()?;
-        std::thread::sleep(CONTACT);
-        run.record.line("entry-1 is ready");
-        Ok(Self {
-            _store: store,
-            _backends: backends,
-            host,
-        })
-    }
-}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,9 +1,9 @@
 //! Stand-ins and scripts of the second independent review. Usage: `standins CASE FOLDER`.
 
 mod backend;
+mod case_copies;
 mod case_handover;
 mod case_late_beat;
-mod case_pipeline;
 mod case_takeover;
 mod client;
 mod deployment;
@@ -60,9 +60,9 @@
     let result = match case {
         "handover" => case_handover::run(&run),
         "takeover" => case_takeover::run(&run),
+        "copies" => case_copies::run(&run),
         "late-beat" => case_late_beat::run(&run, Cause::LateWrite),
         "partial-entry" => case_late_beat::run(&run, Cause::OtherWriter),
-        "pipeline" => case_pipeline::run(&run),
         other => Err(format!("there is no case {other}")),
     };
     let _removed = std::fs::remove_dir_all(&temporary);
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -24,6 +24,9 @@
     object: String,
 }
 
+/// Items in one answer to a list: `page` in the site files.
+const PAGE: usize = 50;
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -118,13 +121,15 @@
 
     fn list(&self, kind: &str, query: &BTreeMap<&str, &str>) -> (u16, String) {
         let state = self.shared.0.lock().expect("no writer panicked");
-        let after = query.get("after").copied().unwrap_or("");
+        let after = decoded(query.get("after").copied().unwrap_or(""));
         let objects = state.objects.iter();
-        let items = objects.filter(|((of, name), _)| of == kind && name.as_str() > after);
+        let items = objects.filter(|((of, name), _)| of == kind && *name > after);
         let items: Vec<String> = items.map(|((_, name), object)| object.text(name)).collect();
+        let page = &items[..items.len().min(PAGE)];
         let text = format!(
-            "{{\"items\":[{}],\"has_more\":false,\"store_revision\":{}}}",
-            items.join(","),
+            "{{\"items\":[{}],\"has_more\":{},\"store_revision\":{}}}",
+            page.join(","),
+            page.len() < items.len(),
             state.revision
         );
         (200, text)
@@ -244,6 +249,29 @@
     }
 }
 
+/// A value of a query without percent signs.
+fn decoded(value: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = value.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let digits = after
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
+        let escaped = digits.and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        match (first, escaped) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 impl Object {
     fn text(&self, name: &str) -> String {
         let name = Json::Text(name.to_owned());
