Cases 6 and 8 count over a longer span

Case 8 had held once while ten scripts ran side by side: few requests came in its span. Both cases now send twice as many, and the entry says ready earlier.

--- a/review/standins-2/case_late_beat.rs
+++ b/review/standins-2/case_late_beat.rs
@@ -20,11 +20,11 @@
 /// From the lost write to the moment at which the backend drains: longer than `contact`, 3 s.
 const DRAINS_AFTER: Duration = Duration::from_millis(3_200);
 /// From the lost write to the moment at which the store does it; the pages allow 1 to 6 s.
-const DONE_AFTER: Duration = Duration::from_millis(5_400);
+const DONE_AFTER: Duration = Duration::from_millis(4_750);
 /// The backend serves for `drain` after its notice and a little longer.
-const ENDS_AFTER: Duration = Duration::from_millis(3_200 + 2_000 + 700);
+const ENDS_AFTER: Duration = Duration::from_millis(3_200 + 2_000 + 950);
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
-const REQUEST_PAUSE: Duration = Duration::from_millis(20);
+const REQUEST_PAUSE: Duration = Duration::from_millis(10);
 
 /// Why the entry says `ready` once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -147,7 +147,7 @@
                     .set_read_timeout(Some(Duration::from_secs(4)));
                 let request = Request {
                     method: "POST",
-                    path: "/filing/one?work=300".to_owned(),
+                    path: "/filing/one?work=150".to_owned(),
                     id: id.clone(),
                     deadline_ms: 4_000,
                     body: b"weight=12".to_vec(),
