--- a/review/standins-2/backend.rs
+++ b/review/standins-2/backend.rs
@@ -5,9 +5,9 @@
 use std::collections::BTreeMap;
 use std::io::Read as _;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::deployment;
 use crate::http::{Connection, Message};
@@ -26,8 +26,19 @@
     log: Arc<dyn Fn(String) + Send + Sync>,
     /// The address of a machine whose connections are reset.
     cut_off: Arc<Mutex<Option<IpAddr>>>,
+    work: Arc<(Mutex<Load>, Condvar)>,
 }
 
+/// Requests that run and that wait.
+#[derive(Debug, Default)]
+struct Load {
+    running: u32,
+    waiting: u32,
+}
+
+/// Requests that wait at a backend, at most: `queue` in the site file.
+const QUEUE: u32 = 9;
+
 impl Backend {
     pub fn start(
         ip: Ipv4Addr,
@@ -43,6 +54,7 @@
             slots,
             log,
             cut_off: Arc::default(),
+            work: Arc::default(),
         };
         let serving = backend.clone();
         thread::spawn(move || {
@@ -90,13 +102,15 @@
     fn answer(&self, connection: &mut Connection, request: &Message) -> Option<()> {
         if request.word(1).starts_with("/health") {
             let head = format!(
-                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nServer-Load: 0,0,{}\r\nContent-Length: 0\r\n\r\n",
-                self.id, self.slots
+                "HTTP/1.1 200 OK\r\nInstance-Id: {}\r\nServer-Load: {}\r\nContent-Length: 0\r\n\r\n",
+                self.id,
+                self.load_text()
             );
             return connection.write(head.as_bytes()).ok();
         }
         let id = request.header("request-id").unwrap_or("").to_owned();
         let arrived = Instant::now();
+        (self.log)(format!("{} is reached by {id}", self.id));
         let is_meant = request
             .header("target-instance")
             .is_none_or(|target| target == self.id);
@@ -111,6 +125,62 @@
             );
             return connection.write(head.as_bytes()).ok();
         }
+        let deadline = request.header("request-deadline");
+        let deadline = deadline
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(60_000);
+        let deadline = arrived + Duration::from_millis(deadline);
+        if !self.take_slot(deadline) {
+            (self.log)(format!("{} turns {id} away: it is full", self.id));
+            let head = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\nServer-Load: {}\r\nContent-Length: 0\r\n\r\n",
+                self.load_text()
+            );
+            return connection.write(head.as_bytes()).ok();
+        }
+        let answered = self.run(connection, request, &id, deadline);
+        self.free_slot();
+        answered
+    }
+
+    /// Waits for a slot; false if the queue is full or the deadline passes in it.
+    fn take_slot(&self, deadline: Instant) -> bool {
+        let mut load = self.work.0.lock().expect("no worker panicked");
+        if load.running >= self.slots && load.waiting >= QUEUE {
+            return false;
+        }
+        load.waiting += 1;
+        while load.running >= self.slots && Instant::now() < deadline {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let waited = self.work.1.wait_timeout(load, left);
+            load = waited.expect("no worker panicked").0;
+        }
+        load.waiting -= 1;
+        let has_slot = load.running < self.slots;
+        load.running += u32::from(has_slot);
+        has_slot
+    }
+
+    fn free_slot(&self) {
+        self.work.0.lock().expect("no worker panicked").running -= 1;
+        self.work.1.notify_one();
+    }
+
+    fn load_text(&self) -> String {
+        let load = self.work.0.lock().expect("no worker panicked");
+        format!("{},{},{}", load.running, load.waiting, self.slots)
+    }
+
+    fn run(
+        &self,
+        connection: &mut Connection,
+        request: &Message,
+        id: &str,
+        deadline: Instant,
+    ) -> Option<()> {
+        if has_left(connection) {
+            return None;
+        }
         let length = request.body.len();
         let peer = connection.stream().peer_addr();
         let peer = peer.map_or_else(|_| "?".to_owned(), |address| address.ip().to_string());
@@ -118,12 +188,7 @@
             "{} runs {id} from {peer} (body of {length} bytes)",
             self.id
         ));
-        let deadline = request.header("request-deadline");
-        let deadline = deadline
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(60_000);
-        let deadline = arrived + Duration::from_millis(deadline);
-        let sent = self.send_answer(connection, request, &id, deadline);
+        let sent = self.send_answer(connection, request, id, deadline);
         if sent.is_none() {
             (self.log)(format!("{} could not answer {id} to the end", self.id));
             return None;
@@ -158,8 +223,10 @@
             return connection.write(head.as_bytes()).ok();
         }
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig-{}-{id}\r\nServer-Load: 0,0,{}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
-            self.id, self.slots, wish.bytes
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: sig-{}-{id}\r\nServer-Load: {}\r\nKeep-Alive: timeout=10\r\nContent-Length: {}\r\n\r\n",
+            self.id,
+            self.load_text(),
+            wish.bytes
         );
         connection.write(head.as_bytes()).ok()?;
         let mut sent = wish.first.min(wish.bytes);
@@ -227,10 +294,16 @@
     }
 }
 
+/// The time of day, which the processes of a case share.
+pub fn unix_micros() -> u128 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    now.map_or(0, |since| since.as_micros())
+}
+
 /// Runs one backend as a process of its own: writes its address, then what happens, to standard
 /// output, and ends when standard input does.
 pub fn run_process(ip: Ipv4Addr, names: (&str, &str), slots: u32) {
-    let log = Arc::new(|text: String| println!("{text}"));
+    let log = Arc::new(|text: String| println!("{} {text}", unix_micros()));
     let backend = Backend::start(ip, names, slots, log);
     println!("address {}", backend.address);
     let _end = std::io::stdin().read_to_end(&mut Vec::new());
--- a/review/standins-2/case_copies.rs
+++ b/review/standins-2/case_copies.rs
@@ -128,6 +128,10 @@
             thread::sleep(Duration::from_millis(20));
             let front = plans[number % plans.len()].front;
             let id = format!("s-{}-{number}", run.record.now_ms());
+            let request = Request {
+                object: number % 24,
+                ..Request::get("/sheet/one?work=50", &id, 3_000)
+            };
             thread::spawn(move || {
                 let Some(mut connection) = client::connect(front) else {
                     return End::Cut("no connection".to_owned());
@@ -135,8 +139,7 @@
                 let _set = connection
                     .stream()
                     .set_read_timeout(Some(Duration::from_secs(3)));
-                let _written =
-                    connection.write(&Request::get("/sheet/one?work=50", &id, 3_000).bytes());
+                let _written = connection.write(&request.bytes());
                 client::read_answer(&mut connection, &id)
             })
         })
--- a/review/standins-2/case_handover.rs
+++ b/review/standins-2/case_handover.rs
@@ -215,6 +215,7 @@
                     path: "/filing/one?work=150".to_owned(),
                     id: id.clone(),
                     deadline_ms: 2_500,
+                    object: 0,
                     body: b"weight=12".to_vec(),
                 };
                 let at = Instant::now();
--- a/review/standins-2/case_late_beat.rs
+++ b/review/standins-2/case_late_beat.rs
@@ -6,15 +6,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::backend::Backend;
+use crate::backend::{self, Backend};
 use crate::client::{self, End, Request};
 use crate::deployment::{self, IP, Route};
 use crate::process::{self, BackendProcess, Host, HostPlan};
 use crate::store::Store;
 use crate::{Run, Verdict};
 
-const BACKENDS: usize = 3;
-const SLOTS: u32 = 9;
+const BACKENDS: usize = 4;
+/// Of `picklog` in hvhr-ledge. Without i-0 the others are nearly full.
+const SLOTS: u32 = 3;
 /// `drain` of the deployment hvhr-ledge.
 const DRAIN: Duration = Duration::from_millis(2_000);
 /// From the lost write to the moment at which the backend drains: longer than `contact`, 3 s.
@@ -23,8 +24,10 @@
 const DONE_AFTER: Duration = Duration::from_millis(4_750);
 /// The backend serves for `drain` after its notice and a little longer.
 const ENDS_AFTER: Duration = Duration::from_millis(3_200 + 2_000 + 950);
+/// `things` in the site file.
+const OBJECTS: usize = 24;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
-const REQUEST_PAUSE: Duration = Duration::from_millis(10);
+const REQUEST_PAUSE: Duration = Duration::from_micros(17_500);
 
 /// Why the entry says `ready` once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,7 +84,7 @@
     store.put("servers", "i-0", &entry("ready", 3));
     at(DRAINS_AFTER);
     store.put("servers", "i-0", &entry("draining", 4));
-    let acknowledged = Instant::now();
+    let acknowledged = backend::unix_micros();
     run.record
         .line("the store has acknowledged that i-0 is draining (seq 4)");
     at(DRAINS_AFTER + HEARTBEAT);
@@ -109,18 +112,18 @@
     is_over.store(true, Ordering::Relaxed);
     let ends = traffic.join().map_err(|_| "the traffic failed")?;
     let served = ends.iter().filter(|end| end.is_success()).count();
-    let late = leaving.runs_since(acknowledged + DRAIN);
+    let late = leaving.reached_since(acknowledged + DRAIN.as_micros());
     run.record.line(format!(
         "{} requests, {served} served; {} reached i-0 later than 2 s after the acknowledgement",
         ends.len(),
-        late.len()
+        late
     ));
-    if late.is_empty() {
+    if late == 0 {
         return Ok(Verdict::Held);
     }
     Ok(Verdict::Broken(format!(
         "{} requests reached i-0 later than `drain` after the acknowledgement that it is draining; {} of {} requests were not served",
-        late.len(),
+        late,
         ends.len() - served,
         ends.len()
     )))
@@ -134,9 +137,11 @@
 ) -> thread::JoinHandle<Vec<End>> {
     let (record, front, is_over) = (run.record.clone(), plan.front, Arc::clone(is_over));
     thread::spawn(move || {
+        let began = Instant::now();
         let mut clients = Vec::new();
         while !is_over.load(Ordering::Relaxed) {
             let id = format!("f-{}", clients.len());
+            let object = clients.len() % OBJECTS;
             let record = record.clone();
             clients.push(thread::spawn(move || {
                 let Some(mut connection) = client::connect(front) else {
@@ -150,6 +155,7 @@
                     path: "/filing/one?work=150".to_owned(),
                     id: id.clone(),
                     deadline_ms: 4_000,
+                    object,
                     body: b"weight=12".to_vec(),
                 };
                 let _written = connection.write(&request.bytes());
@@ -159,7 +165,8 @@
                 }
                 end
             }));
-            thread::sleep(REQUEST_PAUSE);
+            let due = began + REQUEST_PAUSE * clients.len() as u32;
+            thread::sleep(due.saturating_duration_since(Instant::now()));
         }
         let ends = clients.into_iter().filter_map(|client| client.join().ok());
         ends.collect()
--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -15,6 +15,8 @@
     pub path: String,
     pub id: String,
     pub deadline_ms: u64,
+    /// The object that the request is about.
+    pub object: usize,
     pub body: Vec<u8>,
 }
 
@@ -25,6 +27,7 @@
             path: path.to_owned(),
             id: id.to_owned(),
             deadline_ms,
+            object: 0,
             body: Vec::new(),
         }
     }
@@ -35,8 +38,8 @@
             length => format!("Content-Length: {length}\r\n"),
         };
         let head = format!(
-            "{} {} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {}\r\nRequest-Deadline: {}\r\n{length}\r\n",
-            self.method, self.path, self.id, self.deadline_ms
+            "{} {} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {}\r\nRequest-Deadline: {}\r\nCookie: Affinity-Key={}\r\n{length}\r\n",
+            self.method, self.path, self.id, self.deadline_ms, self.object
         );
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(&self.body);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,4 +1,5 @@
-//! Stand-ins and scripts of the second independent review. Usage: `standins CASE FOLDER`.
+//! Stand-ins and scripts of the second independent review. Usage: `standins CASE FOLDER TROUBLE`; the
+//! last word is 0 to leave out the disruption, else 1.
 
 mod backend;
 mod case_copies;
@@ -40,8 +41,8 @@
         let ip = ip.parse().expect("an address");
         return backend::run_process(ip, (id, zone), slots.parse().expect("a number"));
     }
-    let [case, folder] = words[..] else {
-        eprintln!("usage: standins CASE FOLDER");
+    let [case, folder, trouble] = words[..] else {
+        eprintln!("usage: standins CASE FOLDER TROUBLE");
         std::process::exit(2);
     };
     process::start_watchdog(Duration::from_secs(110));
@@ -50,7 +51,7 @@
     let run = Run {
         record: record::Record::create(Path::new(folder)),
         temporary: &temporary,
-        trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
+        trouble: trouble != "0",
     };
     run.record.line(if run.trouble {
         "with the disruption"
--- a/review/standins-2/process.rs
+++ b/review/standins-2/process.rs
@@ -237,7 +237,7 @@
 pub struct BackendProcess {
     pub process: Process,
     pub address: SocketAddr,
-    lines: Arc<Mutex<Vec<(Instant, String)>>>,
+    lines: Arc<Mutex<Vec<(u128, String)>>>,
 }
 
 impl BackendProcess {
@@ -256,15 +256,17 @@
             .strip_prefix("address ")
             .and_then(|text| text.parse().ok());
         let record = record.clone();
-        let seen: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+        let seen: Arc<Mutex<Vec<(u128, String)>>> = Arc::default();
         let known = Arc::clone(&seen);
         thread::spawn(move || {
             for line in lines {
-                record.line(&line);
-                known
-                    .lock()
-                    .expect("no reader panicked")
-                    .push((Instant::now(), line));
+                let Some((at, text)) = line.split_once(' ') else {
+                    continue;
+                };
+                record.line(text);
+                let at = at.parse().unwrap_or(0);
+                let mut known = known.lock().expect("no reader panicked");
+                known.push((at, text.to_owned()));
             }
         });
         Self {
@@ -274,13 +276,13 @@
         }
     }
 
-    /// When it began to run requests since `from`.
-    pub fn runs_since(&self, from: Instant) -> Vec<Instant> {
+    /// How many requests have reached it after this time of day, by its own account.
+    pub fn reached_since(&self, from: u128) -> usize {
         let lines = self.lines.lock().expect("no writer panicked");
-        let runs = lines
+        let reached = lines
             .iter()
-            .filter(|(at, line)| *at > from && line.contains(" runs "));
-        runs.map(|(at, _)| *at).collect()
+            .filter(|(at, line)| *at > from && line.contains(" is reached by "));
+        reached.count()
     }
 }
 
