Names of other programs no longer keep a list from ending (RECOVER)

Cause: a name that was read from the store became part of the next call as it was. A space makes the target invalid, so the call failed before it was sent; '#' and '&' cut the name short, so the same page was read again. The list began anew without end, and without a log line that says why.

A page is repeated only if its position was used before, so the order of names no longer matters. If a list still cannot be read to its end, EV6012 says why, and the servers read so far are used: a host that has no others would serve nobody.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -7,7 +7,7 @@
 //! forward the changes to the other hosts ([`super::gossip`]). When one of them loses the store,
 //! the next in rank replaces it.
 
-use std::{rc, time};
+use std::{collections, rc, time};
 
 use rand::Rng as _;
 use serde_json::json;
@@ -16,7 +16,10 @@
 use super::expiry_retention::ReturnObservation;
 use super::host::EntryHost;
 use super::retention_review::{self, WatchGap};
-use super::store::{ChangeBatch, ObjectKind, ObjectStore, StoreFault, StoreResult};
+use super::store::{
+    ChangeBatch, ObjectKind, ObjectPage, ObjectStore, PageCursor, StoreFault, StoreResult,
+    StoredObject,
+};
 use super::store_updates;
 use super::view_age::ViewSource;
 use super::watch_schedule;
@@ -96,7 +99,9 @@
                 continue;
             }
             let known = position.or_else(|| self.known_position());
-            let result = match known.filter(|_| !must_list) {
+            let known = known.filter(|_| !must_list);
+            let is_list = known.is_none();
+            let result = match known {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
             };
@@ -107,7 +112,11 @@
                 }
                 // The state from before is out of date as well.
                 Err(StoreFault::HistoryGone | StoreFault::FormerEpoch) => must_list = true,
-                Err(_) => self.back_off().await,
+                Err(fault) => {
+                    // A list of which a part was applied is not complete.
+                    must_list |= is_list && matches!(fault, StoreFault::Malformed(_));
+                    self.back_off().await;
+                }
             }
         }
     }
@@ -123,32 +132,28 @@
 
     async fn list(&mut self) -> StoreResult<u64> {
         let mut objects = Vec::new();
-        let mut after: Option<String> = None;
+        let mut cursors = collections::HashSet::new();
+        let mut after: Option<PageCursor> = None;
         let mut revision = None;
         loop {
-            let began = self.host.now();
-            let call = self.store.list(self.kind, after.as_deref());
-            let page = tokio::time::timeout(CALL_TIMEOUT, call)
-                .await
-                .unwrap_or(Err(StoreFault::Unreachable));
-            self.record_call("list", began, page.as_ref().map(|page| page.revision));
-            let page = page?;
+            let page = match self.list_page(after.as_ref()).await {
+                Ok(page) => page,
+                Err(fault) => return Err(self.on_list_failed(&objects, fault)),
+            };
             // The first page's revision: changes made while the other pages are read are watched
             // from there.
             revision = revision.or(Some(page.revision));
-            // An entry that cannot be decoded may have no name.
-            let names = page.objects.iter().map(|object| &object.name);
-            let last = names.max().cloned();
-            let more = page.more;
             objects.extend(page.objects);
-            if !more {
+            if !page.more {
                 break;
             }
             // Without this check a page that does not advance would be read forever.
-            if last <= after {
-                return Err(StoreFault::Malformed("a list that does not end".to_owned()));
+            let next = page.last.filter(|last| cursors.insert(last.clone()));
+            if next.is_none() {
+                let fault = StoreFault::Malformed("a list that does not end".to_owned());
+                return Err(self.on_list_failed(&objects, fault));
             }
-            after = last;
+            after = next;
         }
         let revision = revision.unwrap_or(0);
         store_updates::on_list(&self.host, self.kind, &objects, revision);
@@ -156,6 +161,29 @@
         Ok(revision)
     }
 
+    async fn list_page(&mut self, after: Option<&PageCursor>) -> StoreResult<ObjectPage> {
+        let began = self.host.now();
+        let page = with_timeout(self.store.list(self.kind, after)).await;
+        self.record_call("list", began, page.as_ref().map(|page| page.revision));
+        page
+    }
+
+    /// Handles a list that failed after `objects` were read. If no call can read the rest, these
+    /// servers are used: a host that has no other could serve nobody for as long as the rest cannot
+    /// be read.
+    fn on_list_failed(&self, objects: &[StoredObject], fault: StoreFault) -> StoreFault {
+        if let StoreFault::Malformed(reason) = &fault {
+            let fields = json!({
+                "kind": self.kind.as_str(),
+                "objects": objects.len(),
+                "reason": reason,
+            });
+            self.host.log_event(EventCode::ListIncomplete, fields);
+            store_updates::on_incomplete_list(&self.host, self.kind, objects);
+        }
+        fault
+    }
+
     async fn watch(&mut self, revision: u64) -> StoreResult<u64> {
         let began = self.host.now();
         self.host.view_ages.on_watch_begun(self.kind, began);
--- a/src/entry/quarantine_role/store.rs
+++ b/src/entry/quarantine_role/store.rs
@@ -10,7 +10,7 @@
 use super::super::quarantine::message::SuspectRecord;
 use super::super::quarantine::stored::StoredSuspect;
 use super::super::store::{
-    ObjectContent, ObjectKind, ObjectStore, StoreFault, StoreResult, StoredObject,
+    ObjectContent, ObjectKind, ObjectStore, PageCursor, StoreFault, StoreResult, StoredObject,
 };
 use super::STORE_SOURCE;
 use crate::entry::host::EntryHost;
@@ -71,12 +71,12 @@
     host: &EntryHost<W>,
     store: &S,
 ) -> StoreResult<()> {
-    let mut after: Option<String> = None;
+    let mut after: Option<PageCursor> = None;
     for _ in 0..MAX_PAGES {
-        let page =
-            follow::with_timeout(store.list(ObjectKind::Quarantine, after.as_deref())).await?;
+        let call = store.list(ObjectKind::Quarantine, after.as_ref());
+        let page = follow::with_timeout(call).await?;
         apply_objects(host, &page.objects);
-        after = page.objects.last().map(|object| object.name.clone());
+        after = page.last;
         if !page.more || after.is_none() {
             break;
         }
--- a/src/entry/store.rs
+++ b/src/entry/store.rs
@@ -97,13 +97,40 @@
     }
 }
 
+/// The name after which a page of a list begins, as the store writes it. It may not be UTF-8.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PageCursor(Vec<u8>);
+
+impl PageCursor {
+    /// The position after the object with this name.
+    #[must_use]
+    pub fn from_name(name: &str) -> Self {
+        Self(name.as_bytes().to_vec())
+    }
+
+    /// The position after the object whose name has these bytes.
+    #[must_use]
+    pub const fn from_bytes(name: Vec<u8>) -> Self {
+        Self(name)
+    }
+
+    /// The bytes of the name.
+    #[must_use]
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
 /// One page of a list.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ObjectPage {
     /// The objects, sorted by name.
     pub objects: Vec<StoredObject>,
-    /// Whether more objects follow after the last name.
+    /// Whether more objects follow after the last one.
     pub more: bool,
+    /// The position after this page; `None` if it is the last page or if none of its objects has a
+    /// readable name.
+    pub last: Option<PageCursor>,
     /// The store revision at which the page was read.
     pub revision: u64,
 }
@@ -168,8 +195,8 @@
     /// Takes the last reported epoch that could not be parsed, if any.
     fn take_unreadable_epoch(&self) -> Option<String>;
 
-    /// One page of a kind, after the name `after`.
-    async fn list(&self, kind: ObjectKind, after: Option<&str>) -> StoreResult<ObjectPage>;
+    /// One page of a kind, after the position `after`.
+    async fn list(&self, kind: ObjectKind, after: Option<&PageCursor>) -> StoreResult<ObjectPage>;
 
     /// Changes of a kind after `revision`; waits up to `wait_ms` for the first.
     async fn watch(
--- a/src/entry/store_updates.rs
+++ b/src/entry/store_updates.rs
@@ -9,10 +9,13 @@
 use super::host::EntryHost;
 use super::host_gossip;
 use super::peer_message::{GoneHost, HostUpdate};
-use super::store::{ChangeBatch, ObjectContent, ObjectKind, StoredObject};
+use super::store::{ChangeBatch, ObjectChange, ObjectContent, ObjectKind, StoredObject};
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 
+/// The revision of a fleet that is not complete. Other hosts never ask for such a state.
+const NO_REVISION: u64 = 0;
+
 /// Applies a whole list of a kind, current up to `revision`.
 pub(super) fn on_list<W: WireProtocol>(
     host: &EntryHost<W>,
@@ -50,6 +53,32 @@
     announcements::announce_start(host);
 }
 
+/// Applies the readable part of a list. Servers that are not in
+/// it may be in the rest, so none is removed. The fleet is not current up to any revision then.
+pub(super) fn on_incomplete_list<W: WireProtocol>(
+    host: &EntryHost<W>,
+    kind: ObjectKind,
+    objects: &[StoredObject],
+) {
+    if kind != ObjectKind::Servers || objects.is_empty() {
+        return;
+    }
+    if !host.fleet.borrow().is_listed() {
+        host.on_server_list(objects, NO_REVISION, MissingSource::Store, "store");
+        return;
+    }
+    let changes = objects.iter().map(|object| ObjectChange {
+        object: object.clone(),
+        deleted: false,
+    });
+    let changes: Vec<ObjectChange> = changes.collect();
+    let span = ChangeSpan {
+        until: host.fleet.borrow().revision(),
+        contiguous: false,
+    };
+    host.on_server_changes(&changes, span, MissingSource::Store, "store");
+}
+
 /// Checks the own entry: a store that returned from an older backup may have lost it, or may hold
 /// it at another revision.
 fn check_own_entry<W: WireProtocol>(host: &EntryHost<W>, objects: &[StoredObject]) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -121,6 +121,7 @@
     StoreEraUnreadable = 6009, Warn, "The store tells its era in a form that cannot be understood; it is passed over.";
     RolloutNotRecorded = 6010, Warn, "How far the traffic of a service has moved to another version could not be recorded in the store; it is tried again.";
     WatchOverdue = 6011, Warn, "A watch of the store was not answered in time, or another host shows that it is late; the store is asked again.";
+    ListIncomplete = 6012, Error, "A list of the store cannot be read to its end; what was read of it is used, and it is read again.";
 }
 
 impl EventCode {
