Other hosts take over in time when all watchers stop (CONFIG)

Cause: who must watch the store was decided by who may be alive. A killed host counted as a watcher for another 2 to 3 s, which is the whole bound; a host that had started again counted anew, although it leaves the store to the seeds for its first 1.5 s. With all watchers of all regions gone, nobody asked.

Change: the next hosts by rank take over after a silence that leaves time for the news within the shortest bound (set_shortest_bound), and do not count a host that starts again until it says that it watches. A host that meets others in its own first 2.5 s counts them as before, so hosts that start together do not all list the store. EV6004 names the hosts that rank before, and how long they have been silent.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -156,11 +156,31 @@
             after = next;
         }
         let revision = revision.unwrap_or(0);
+        let before = self.shared_state();
         store_updates::on_list(&self.host, self.kind, &objects, revision);
+        if self.shared_state() != before && !self.host.is_starting() {
+            self.announce_list();
+        }
         self.review_retention(revision);
         Ok(revision)
     }
 
+    /// What heartbeats tell of this host's configuration and evacuations.
+    fn shared_state(&self) -> (u64, u64) {
+        let evacuations = self.host.evacuations.borrow();
+        (self.host.configuration_version(), evacuations.changed())
+    }
+
+    /// Announces the news that a list has shown. The hosts that watched before may have ended
+    /// without telling it.
+    fn announce_list(&self) {
+        match self.kind {
+            ObjectKind::Configuration => announcements::announce_configuration(&self.host),
+            _ => announcements::announce(&self.host),
+        }
+        announcements::announce_found_changes(&self.host);
+    }
+
     async fn list_page(&mut self, after: Option<&PageCursor>) -> StoreResult<ObjectPage> {
         let began = self.host.now();
         let page = with_timeout(self.store.list(self.kind, after)).await;
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -122,6 +122,7 @@
         fleet.set_leave_ms(settings.bounds.leave_ms());
         let limits = LimitRole::of_host(&settings.name, run);
         let mut peers = PeerTable::default();
+        peers.set_shortest_bound(settings.bounds.shortest_change_ms());
         if settings.has_other_seeds() {
             peers.on_other_seeds();
         }
@@ -364,6 +365,8 @@
         }
         let leave_ms = settings.bounds.leave_ms();
         self.fleet.borrow_mut().set_leave_ms(leave_ms);
+        let bound_ms = settings.bounds.shortest_change_ms();
+        self.peers.borrow_mut().set_shortest_bound(bound_ms);
         *self.settings.borrow_mut() = rc::Rc::new(settings);
         self.log_event(EventCode::SettingsReloaded, json!({}));
     }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -24,7 +24,7 @@
 pub use self::limit_owners::{LimitOwner, LimitOwnerQuery};
 pub use self::registration::REGISTERED_HOSTS_PER_HALL;
 pub use self::targets::{HEARTBEAT_FANOUT, RELAYS_PER_HALL, UpdateTargets};
-pub use self::watchers::WATCHERS_PER_REGION;
+pub use self::watchers::{WATCHERS_PER_REGION, WatchCandidate};
 use super::hash;
 use super::peer_message::{PeerHeartbeat, WatchState};
 use crate::timer::Moment;
@@ -83,10 +83,15 @@
             .is_some_and(|seen| now.since(seen) <= timeout_ms)
     }
 
-    /// Whether the host was seen, or discovered, so recently that it may be alive. The first
-    /// heartbeat of a newly discovered host may still be on its way.
+    /// Whether the host was seen, or discovered, so recently that it may be alive.
     fn may_be_alive(&self, now: Moment, timeout_ms: u64) -> bool {
-        now.since(self.last_seen.unwrap_or(self.discovered_at)) <= timeout_ms
+        self.silent_ms(now) <= timeout_ms
+    }
+
+    /// How long ago the host was seen, in milliseconds, or discovered: the first heartbeat of a newly
+    /// discovered host may still be on its way.
+    fn silent_ms(&self, now: Moment) -> u64 {
+        now.since(self.last_seen.unwrap_or(self.discovered_at))
     }
 
     /// Whether the host is alive and has not announced its shutdown.
@@ -172,6 +177,8 @@
     membership_complete: bool,
     /// Whether the settings name other seeds, so that other hosts probably exist.
     may_have_peers: bool,
+    /// The shortest time in which changes in the store must be in force, in milliseconds.
+    shortest_bound_ms: Option<u64>,
 }
 
 impl PeerTable {
--- a/src/entry/peers/targets.rs
+++ b/src/entry/peers/targets.rs
@@ -177,7 +177,8 @@
         let mut local: Vec<&PeerEntry> = self.in_region(&own.region).collect();
         local.retain(|peer| is_own_share(&peer.record.hall));
         local.sort_by_key(|peer| (&peer.record.hall, peer.record.watcher_rank()));
-        let timeout_ms = self.timeout_ms(&own.region);
+        // A relay that was just killed passes nothing on.
+        let timeout_ms = self.watch_timeout_ms(&own.region);
         let mut targets = UpdateTargets::default();
         for hall in local.chunk_by(|a, b| a.record.hall == b.record.hall) {
             let is_own = hall.iter().any(|peer| peer.record.hall == own.hall);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -164,6 +164,14 @@
     pub fn leave_ms(&self) -> u64 {
         u64::try_from(self.leave_time.as_millis()).unwrap_or(u64::MAX)
     }
+
+    /// The shortest time in which changes in the store must be in force, in milliseconds.
+    #[must_use]
+    pub fn shortest_change_ms(&self) -> u64 {
+        let shortest = self.leave_time.min(self.configuration_time);
+        let shortest = shortest.min(self.evacuation_time);
+        u64::try_from(shortest.as_millis()).unwrap_or(u64::MAX)
+    }
 }
 
 /// Reads a settings file.
--- a/src/entry/watch_role.rs
+++ b/src/entry/watch_role.rs
@@ -232,7 +232,9 @@
     pub(super) fn update_watch_role(&self) {
         let is_due = self.is_watcher();
         if self.watch.set_watching(is_due) {
-            let fields = json!({ "watching": is_due });
+            let peers = self.peers.borrow();
+            let before = peers.watch_candidates(&self.record(), self.now());
+            let fields = json!({ "watching": is_due, "before": before });
             self.log_event(EventCode::WatchRoleChanged, fields);
         }
     }
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -398,6 +398,77 @@
     );
 }
 
+/// Guards against a gap without watchers: hosts that start again rank before the others, but do not
+/// watch at once.
+#[test]
+fn the_next_host_by_rank_watches_while_a_watcher_starts_again() {
+    let own = host("z", "one", 100);
+    let larger: Vec<HostRecord> = ["a", "b"].map(|name| host(name, "one", 500)).to_vec();
+    let mut peers = PeerTable::default();
+    let killed = Moment(60_000);
+    for other in &larger {
+        peers.on_heartbeat(&heartbeat(other, WatchState::Watching), Moment(0));
+        peers.on_heartbeat(&heartbeat(other, WatchState::Watching), killed);
+    }
+    assert!(!peers.is_watcher(&own, killed));
+    let restarted: Vec<HostRecord> = larger
+        .iter()
+        .map(|other| HostRecord {
+            run: other.run + 1,
+            ..other.clone()
+        })
+        .collect();
+    let started = killed.plus(500);
+    for other in &restarted {
+        peers.on_heartbeat(&heartbeat(other, WatchState::Idle), started);
+    }
+    assert!(
+        peers.is_watcher(&own, started),
+        "nobody else watches: {:?}",
+        peers.watch_candidates(&own, started)
+    );
+    for other in &restarted {
+        peers.on_heartbeat(&heartbeat(other, WatchState::Watching), started);
+    }
+    assert!(!peers.is_watcher(&own, started));
+}
+
+/// Guards against hosts that all list the store when they start together: none has watched before.
+#[test]
+fn hosts_that_start_together_leave_the_store_to_the_first_by_rank() {
+    let all: Vec<HostRecord> = (0..30)
+        .map(|number| host(&format!("h-{number:02}"), "one", 200))
+        .collect();
+    let now = Moment(1_500);
+    let watching = all.iter().filter(|own| {
+        let mut peers = PeerTable::default();
+        peers.set_shortest_bound(2_000);
+        for peer in all.iter().filter(|peer| peer.name != own.name) {
+            peers.on_heartbeat(&heartbeat(peer, WatchState::Idle), Moment(1_000));
+        }
+        peers.is_watcher(own, now)
+    });
+    assert_eq!(watching.count(), WATCHERS_PER_REGION);
+}
+
+/// Guards against a successor that waits for silent watchers until the bound is over.
+#[test]
+fn the_next_host_by_rank_watches_before_the_shortest_bound_is_over() {
+    const BOUND_MS: u64 = 2_000;
+    /// A tick, a call, a repeated announcement and a fetch.
+    const NEWS_MS: u64 = 600;
+    let own = host("z", "one", 100);
+    let mut peers = PeerTable::default();
+    peers.set_shortest_bound(BOUND_MS);
+    for name in ["a", "b"] {
+        let larger = host(name, "one", 500);
+        peers.on_heartbeat(&heartbeat(&larger, WatchState::Watching), Moment(0));
+    }
+    // Two heartbeats may be lost.
+    assert!(!peers.is_watcher(&own, Moment(1_100)));
+    assert!(peers.is_watcher(&own, Moment(BOUND_MS - NEWS_MS)));
+}
+
 #[test]
 fn during_a_store_outage_only_a_few_hosts_of_a_region_call_the_store() {
     let all: Vec<HostRecord> = (0..30)
