A heartbeat that the store writes late no longer revives a leaving server (DRAIN)

Cause: entries were ordered by the store's revisions alone. The store may do a write seconds after newer ones, so its order is not the server's; the server's own number of the statement (seq) was not read.

Change: within one incarnation the statement with the higher number is newer, whatever the revisions are (entry_order). A notice that a server drains holds until a later statement. An older statement that the store wrote last is doubted: of a live server the next heartbeat replaces it, of one that is gone the entry is removed, so it is believed only once it has stood for 12 s. That keeps a server from staying out for good that counts anew without reporting its start. The last number is kept with a removal and told to other hosts, so an entry that is made again late is doubted as well; of a batch, hosts forward a newer statement beside the last change. The message format rises to 12.

--- a/src/entry/expiry_retention.rs
+++ b/src/entry/expiry_retention.rs
@@ -169,6 +169,8 @@
 #[derive(Debug, Default)]
 pub struct ReportedRetentions {
     retentions: collections::HashMap<String, Moment>,
+    /// The numbers of the last statements of servers about themselves.
+    last_statements: collections::HashMap<String, u64>,
     /// Until when the recipient retains servers that it finds missing itself.
     outage_end: Option<Moment>,
 }
@@ -180,7 +182,11 @@
     /// use ledgespool::entry::expiry_retention::ReportedRetentions;
     /// use ledgespool::entry::peer_message::GoneServer;
     /// use ledgespool::timer::Moment;
-    /// let gone = |id: &str, hold_ms| GoneServer { id: id.to_owned(), hold_ms };
+    /// let gone = |id: &str, hold_ms| GoneServer {
+    ///     id: id.to_owned(),
+    ///     hold_ms,
+    ///     last_statement: None,
+    /// };
     /// let reported = ReportedRetentions::from_gone(&[gone("a", 0), gone("b", 300)], Moment(10));
     /// assert!(reported.server_retention("a").is_none());
     /// assert_eq!(reported.server_retention("b").map(|retention| retention.until), Some(Moment(310)));
@@ -191,8 +197,12 @@
         let retentions = retained.map(|server| (server.id.clone(), now.plus(server.hold_ms)));
         let retentions: collections::HashMap<_, _> = retentions.collect();
         let outage_end = retentions.values().max().copied();
+        let last_statements = gone
+            .iter()
+            .filter_map(|server| Some((server.id.clone(), server.last_statement?)));
         Self {
             retentions,
+            last_statements: last_statements.collect(),
             outage_end,
         }
     }
@@ -229,3 +239,13 @@
     /// Another host, which decided when it read the store.
     Peer(&'a ReportedRetentions),
 }
+
+impl MissingSource<'_> {
+    /// The number of a server's last statement about itself, if another host reports it.
+    pub(super) fn last_statement(&self, id: &str) -> Option<u64> {
+        match self {
+            Self::Store => None,
+            Self::Peer(reported) => reported.last_statements.get(id).copied(),
+        }
+    }
+}
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -6,13 +6,14 @@
 
 use std::{cmp, collections, rc};
 
+use super::entry_order::{DoubtedEntries, EntryOrder};
 use super::expiry_retention::{ExpiryRetention, MissingSource, ReturnObservation};
 use super::fleet_change::{ChangeSpan, FleetChange, RetainedServer};
 use super::fleet_index::FleetIndex;
 use super::fleet_server::FleetServer;
 use super::name_interner::NameInterner;
 use super::past_notices::PastNotices;
-use super::removed_servers::{RemovalKind, RemovedServers, ServerIncarnation};
+use super::removed_servers::{RemovalKind, RemovedServers, ServerIncarnation, ServerRemoval};
 use super::server::{self, ServerObject, ServerRecord, ServerState};
 use super::settings::HallMap;
 use super::store::{ObjectChange, ObjectContent, StoredObject};
@@ -33,6 +34,8 @@
     /// The store revision of the entry's last change.
     pub(super) revision: u64,
     pub(super) stored: StoredState,
+    /// Whether the last entry could be parsed. If not, `stored` says that the server drains.
+    pub(super) is_readable: bool,
 }
 
 /// The fields of a store entry that may change during one incarnation of the server.
@@ -41,6 +44,8 @@
     pub(super) born: Option<u64>,
     pub(super) state: ServerState,
     pub(super) cold_ms: u64,
+    /// The number of the server's last statement.
+    pub(super) sequence: Option<u64>,
 }
 
 impl StoredState {
@@ -49,8 +54,15 @@
             born: record.born,
             state: record.state,
             cold_ms: record.cold_ms,
+            sequence: record.sequence,
         }
     }
+
+    /// Whether both say the same, whatever the numbers of the statements are.
+    pub(super) fn says_same(&self, other: &Self) -> bool {
+        let sequence = other.sequence;
+        Self { sequence, ..*self } == *other
+    }
 }
 
 impl FleetEntry {
@@ -67,6 +79,7 @@
             slots: server.slots,
             state: self.stored.state,
             cold_ms: self.stored.cold_ms,
+            sequence: self.stored.sequence,
         };
         ServerObject {
             record,
@@ -88,6 +101,7 @@
     /// The most recently removed servers, for hosts that missed the removal.
     pub(super) removed: RemovedServers,
     pub(super) past_notices: PastNotices,
+    pub(super) doubted: DoubtedEntries,
     revision: u64,
     changed: u64,
     retention: ExpiryRetention,
@@ -196,10 +210,13 @@
             changes.extend(self.remove(&id, revision, source, now));
         }
         for object in objects {
-            if !self.is_superseded(object) {
-                changes.extend(self.apply_entry(object, halls, now));
-            }
+            changes.extend(match self.entry_order(object) {
+                EntryOrder::Newer => self.apply_entry(object, halls, now),
+                EntryOrder::Doubtful => self.doubt(object, now),
+                EntryOrder::Outdated => None,
+            });
         }
+        self.doubted.retain_listed(objects);
         self.revision = revision;
         self.changed = revision;
         self.is_listed = true;
@@ -259,22 +276,6 @@
         known.is_some_and(|known| known.revision > revision)
     }
 
-    /// Whether an entry describes an earlier incarnation of its server than the known one, or an
-    /// older state of the same incarnation.
-    fn is_superseded(&self, object: &StoredObject) -> bool {
-        let order = match (&object.content, self.entries.get(&*object.name)) {
-            (ObjectContent::Server(record), Some(known)) => {
-                server::start_order(record.born, known.stored.born)
-            }
-            _ => cmp::Ordering::Equal,
-        };
-        match order {
-            cmp::Ordering::Less => true,
-            cmp::Ordering::Equal => self.is_newer_known(&object.name, object.revision),
-            cmp::Ordering::Greater => false,
-        }
-    }
-
     /// Applies changes in their order.
     pub fn on_changes(
         &mut self,
@@ -296,14 +297,18 @@
             .collect();
         for (change, outdated) in batch.iter().zip(outdated) {
             let id = &change.object.name;
-            if outdated || self.is_superseded(&change.object) {
+            if outdated {
                 continue;
             }
             let before = self.server(id).cloned();
             if change.deleted {
-                changes.extend(self.remove(id, span.until, source, now));
+                changes.extend(self.apply_removal(&change.object, span.until, source, now));
             } else if change.object.revision > self.revision || self.contains(id) {
-                changes.extend(self.apply_entry(&change.object, halls, now));
+                changes.extend(match self.entry_order(&change.object) {
+                    EntryOrder::Newer => self.apply_entry(&change.object, halls, now),
+                    EntryOrder::Doubtful => self.doubt(&change.object, now),
+                    EntryOrder::Outdated => None,
+                });
             }
             let after = self.entries.get(id.as_str()).map(|entry| &entry.server);
             self.index.replace(before.as_ref(), after);
@@ -315,15 +320,60 @@
         changes
     }
 
+    /// Removes the server whose entry was deleted, unless a later incarnation or a newer entry of it
+    /// is known. `object` is the last state of the entry.
+    fn apply_removal(
+        &mut self,
+        object: &StoredObject,
+        by: u64,
+        source: MissingSource<'_>,
+        now: Moment,
+    ) -> Option<FleetChange> {
+        let is_newer_known = self.is_newer_known(&object.name, object.revision);
+        let mut last_statement = source.last_statement(&object.name);
+        if let Some(known) = self.entries.get_mut(&*object.name) {
+            let order = match &object.content {
+                ObjectContent::Server(record) => {
+                    last_statement = record.sequence;
+                    server::start_order(record.born, known.stored.born)
+                }
+                _ => cmp::Ordering::Equal,
+            };
+            match order {
+                cmp::Ordering::Less => return None,
+                cmp::Ordering::Equal if is_newer_known => return None,
+                cmp::Ordering::Equal => {
+                    known.stored.sequence = known.stored.sequence.max(last_statement);
+                }
+                cmp::Ordering::Greater => {}
+            }
+        }
+        self.remove(&object.name, by, source, now)
+    }
+
+    /// The number of the last known statement of a server about itself, also if it was removed.
+    #[must_use]
+    pub fn last_statement(&self, id: &str) -> Option<u64> {
+        let known = self.entries.get(id);
+        let stored = known.map(|known| known.stored.sequence);
+        stored.unwrap_or_else(|| self.removed.last_statement_of(id))
+    }
+
+    /// Replaces a server in the index.
+    pub(super) fn replace_indexed(
+        &mut self,
+        before: Option<&rc::Rc<FleetServer>>,
+        after: Option<&rc::Rc<FleetServer>>,
+    ) {
+        self.index.replace(before, after);
+    }
+
     /// Whether a change is an entry of a server that is known to have been removed later.
     fn is_removed_later(&self, change: &ObjectChange) -> bool {
         let revision = change.object.revision;
         match &change.object.content {
             ObjectContent::Server(record) => {
-                let incarnation = ServerIncarnation {
-                    id: &record.id,
-                    born: record.born,
-                };
+                let incarnation = record.incarnation();
                 !change.deleted && self.removed.was_removed_since(incarnation, revision)
             }
             _ => false,
@@ -361,6 +411,7 @@
         source: MissingSource<'_>,
         now: Moment,
     ) -> Option<FleetChange> {
+        self.doubted.remove(id);
         let server = rc::Rc::clone(self.server(id)?);
         let retained = match source {
             MissingSource::Store => self.retention.server_retention(by, now),
@@ -405,7 +456,12 @@
             id: &server.id,
             born: entry.stored.born,
         };
-        self.removed.on_removed(incarnation, by, kind, left);
+        let removal = ServerRemoval {
+            by,
+            kind,
+            last_statement: entry.stored.sequence,
+        };
+        self.removed.on_removed(incarnation, removal, left);
         Some(FleetChange::Removed(id.to_owned()))
     }
 }
--- a/src/entry/fleet_apply.rs
+++ b/src/entry/fleet_apply.rs
@@ -5,7 +5,6 @@
 use super::fleet::{Fleet, FleetEntry, StoredState};
 use super::fleet_change::FleetChange;
 use super::fleet_server::FleetServer;
-use super::removed_servers::ServerIncarnation;
 use super::server::{self, ServerRecord, ServerState};
 use super::settings::HallMap;
 use super::store::{ObjectContent, StoredObject};
@@ -19,6 +18,7 @@
         halls: &HallMap,
         now: Moment,
     ) -> Option<FleetChange> {
+        self.doubted.remove(&object.name);
         match &object.content {
             ObjectContent::Server(record) if halls.has(&record.hall) => {
                 self.apply_server(object, record, halls, now)
@@ -39,6 +39,7 @@
             entry.revision = object.revision;
             entry.server.on_unreadable();
             entry.stored.state = ServerState::Draining;
+            entry.is_readable = false;
         }
         FleetChange::Unreadable(format!("{}: {reason}", object.name))
     }
@@ -76,6 +77,7 @@
             server: rc::Rc::new(server),
             revision: object.revision,
             stored: StoredState::of(record),
+            is_readable: true,
         };
         let id = rc::Rc::clone(&entry.server.id);
         let before = self.entries.insert(id, entry);
@@ -96,13 +98,9 @@
             return false;
         }
         let Some(known) = self.entries.get(&*record.id) else {
-            let incarnation = ServerIncarnation {
-                id: &record.id,
-                born: record.born,
-            };
             return self
                 .removed
-                .removed_in_earlier_epoch(incarnation, object.revision);
+                .removed_in_earlier_epoch(record.incarnation(), object.revision);
         };
         let epoch = store_position::epoch_of;
         known.stored.state == ServerState::Draining
@@ -116,9 +114,11 @@
         let before = self.stored;
         self.stored = StoredState {
             born: record.born.or(before.born),
+            sequence: record.sequence.or(before.sequence),
             ..StoredState::of(record)
         };
-        if before == self.stored {
+        self.is_readable = true;
+        if before.says_same(&self.stored) {
             self.server.on_present();
         } else {
             self.server.update(record, now);
--- a/src/entry/fleet_change.rs
+++ b/src/entry/fleet_change.rs
@@ -19,6 +19,9 @@
     Removed(String),
     /// An entry could not be parsed.
     Unreadable(String),
+    /// An entry holds an older statement of its server than the last known one; it is not believed
+    /// for now.
+    Doubted(String),
 }
 
 impl FleetChange {
--- a/src/entry/fleet_report.rs
+++ b/src/entry/fleet_report.rs
@@ -38,10 +38,12 @@
             return None;
         }
         // A server whose entry expired and came back is not removed any more.
-        let removed = self.removed.since(since)?.filter(|id| !self.contains(id));
-        let removed = removed.map(|id| GoneServer {
+        let removed = self.removed.since(since)?;
+        let removed = removed.filter(|(id, _)| !self.contains(id));
+        let removed = removed.map(|(id, last_statement)| GoneServer {
             id: id.clone(),
             hold_ms: 0,
+            last_statement,
         });
         // A retained server is removed at the end of its retention without a change in the store.
         let gone = removed.chain(self.retained(now));
@@ -56,7 +58,12 @@
         self.missing().filter_map(move |server| {
             let hold_ms = server.missing_until()?.since(now);
             let id = server.id.to_string();
-            Some(GoneServer { id, hold_ms })
+            let last_statement = self.last_statement(&id);
+            Some(GoneServer {
+                id,
+                hold_ms,
+                last_statement,
+            })
         })
     }
 
--- a/src/entry/gossip.rs
+++ b/src/entry/gossip.rs
@@ -130,7 +130,12 @@
     let fleet = host.fleet.borrow();
     let gone = ids.into_iter().map(|id| {
         let hold_ms = fleet.retention_ms(&id, now);
-        GoneServer { id, hold_ms }
+        let last_statement = fleet.last_statement(&id);
+        GoneServer {
+            id,
+            hold_ms,
+            last_statement,
+        }
     });
     gone.collect()
 }
@@ -344,7 +349,8 @@
     });
     let gone = update.gone.iter();
     let gone = gone.map(|server| removal_of(&server.id, update.until));
-    changed.chain(gone).collect()
+    // An update has both only if the server's entry returned with an older statement.
+    gone.chain(changed).collect()
 }
 
 /// The removal of a server that happened at the store revision `until` or before; an observation at
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -329,7 +329,11 @@
         let now = self.now();
         self.log_stall(now);
         self.update_watch_role();
-        let changes = self.fleet.borrow_mut().on_tick(now);
+        let halls = self.settings();
+        let mut fleet = self.fleet.borrow_mut();
+        let mut changes = fleet.on_tick(now);
+        changes.extend(fleet.on_doubts_over(&halls.halls, now));
+        drop(fleet);
         self.log_fleet_changes(&changes, "timer");
         let fleet = self.fleet.borrow();
         let is_gone = |id: &str| !fleet.contains(id);
--- a/src/entry/host_fleet.rs
+++ b/src/entry/host_fleet.rs
@@ -96,6 +96,7 @@
             FleetChange::Draining(id) => (EventCode::ServerLeaving, id),
             FleetChange::Retained(retained) => (EventCode::ServerLapsed, &retained.id),
             FleetChange::Unreadable(reason) => (EventCode::ObjectUnreadable, reason),
+            FleetChange::Doubted(id) => (EventCode::EntryDoubted, id),
         };
         let mut fields = json!({
             "server": server,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 pub mod customer;
 pub mod decision_log;
 pub mod departure;
+pub mod entry_order;
 pub mod evacuation;
 pub mod exchange;
 pub mod expiry_retention;
--- a/src/entry/packed_servers.rs
+++ b/src/entry/packed_servers.rs
@@ -24,6 +24,7 @@
     slots: u32,
     state: ServerState,
     cold_ms: u64,
+    sequence: Option<u64>,
     revision: u64,
 }
 
@@ -48,6 +49,7 @@
                 slots: record.slots,
                 state: record.state,
                 cold_ms: record.cold_ms,
+                sequence: record.sequence,
                 revision: object.revision,
             };
             packed.servers.push(server);
@@ -69,6 +71,7 @@
                 slots: server.slots,
                 state: server.state,
                 cold_ms: server.cold_ms,
+                sequence: server.sequence,
             };
             Some(ServerObject {
                 record,
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -15,7 +15,7 @@
 
 /// The format number. Hosts ignore messages with another number, so that two versions of the
 /// program can run side by side during an upgrade.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
 /// Why a message of another host could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -201,6 +201,9 @@
     /// per server, so that a host that gets the update late does not retain the server longer than
     /// others do.
     pub hold_ms: u64,
+    /// The number of the server's last statement about itself. An entry that returns with an older
+    /// one was written late.
+    pub last_statement: Option<u64>,
 }
 
 /// Entry hosts that joined or are gone.
--- a/src/entry/removed_servers.rs
+++ b/src/entry/removed_servers.rs
@@ -14,13 +14,22 @@
 /// read the complete list.
 const MIN_REMOVED_SERVERS: usize = 1_024;
 
-/// A removed server, and the store revision up to which it was removed.
+/// A removed server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct RemovedServer {
     id: String,
     born: Option<u64>,
-    removed_by: u64,
-    kind: RemovalKind,
+    removal: ServerRemoval,
+}
+
+/// How and when a server was removed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ServerRemoval {
+    /// The store revision up to which it was removed.
+    pub(super) by: u64,
+    pub(super) kind: RemovalKind,
+    /// The number of the last known statement of the server about itself.
+    pub(super) last_statement: Option<u64>,
 }
 
 /// Identifies one incarnation of a server.
@@ -58,12 +67,11 @@
         self.complete_since = self.complete_since.max(revision);
     }
 
-    /// A server was removed up to the store revision `removed_by`; `fleet_size` servers are left.
+    /// A server was removed; `fleet_size` servers are left.
     pub(super) fn on_removed(
         &mut self,
         incarnation: ServerIncarnation<'_>,
-        removed_by: u64,
-        kind: RemovalKind,
+        removal: ServerRemoval,
         fleet_size: usize,
     ) {
         let number = self.forgotten + self.servers.len();
@@ -72,8 +80,7 @@
         self.servers.push_back(RemovedServer {
             id: incarnation.id.to_owned(),
             born: incarnation.born,
-            removed_by,
-            kind,
+            removal,
         });
         while self.servers.len() > fleet_size.max(MIN_REMOVED_SERVERS) {
             self.forget_oldest();
@@ -89,7 +96,7 @@
             self.last_numbers.remove(&key);
         }
         self.forgotten += 1;
-        self.complete_since = self.complete_since.max(first.removed_by);
+        self.complete_since = self.complete_since.max(first.removal.by);
     }
 
     /// The last removal of a server, if it is remembered.
@@ -109,8 +116,8 @@
         let last = self.last_removal(incarnation.id);
         last.is_some_and(|removed| {
             let is_later_incarnation = incarnation.born > removed.born;
-            removed.kind == RemovalKind::Deleted
-                && removed.removed_by >= revision
+            removed.removal.kind == RemovalKind::Deleted
+                && removed.removal.by >= revision
                 && !is_later_incarnation
         })
     }
@@ -126,20 +133,36 @@
         let last = self.last_removal(incarnation.id);
         let epoch = store_position::epoch_of;
         last.is_some_and(|removed| {
-            epoch(removed.removed_by) < epoch(position) && incarnation.born <= removed.born
+            epoch(removed.removal.by) < epoch(position) && incarnation.born <= removed.born
         })
     }
 
-    /// The identities of the servers removed after the store revision `since`; `None` if these are
+    /// The number of the last known statement of this incarnation of a server, if it was removed. A
+    /// later incarnation numbers its statements anew.
+    pub(super) fn last_statement(&self, incarnation: ServerIncarnation<'_>) -> Option<u64> {
+        let last = self.last_removal(incarnation.id)?;
+        let is_later_incarnation = incarnation.born > last.born;
+        last.removal
+            .last_statement
+            .filter(|_| !is_later_incarnation)
+    }
+
+    /// The number of the last known statement of a server that was removed.
+    pub(super) fn last_statement_of(&self, id: &str) -> Option<u64> {
+        self.last_removal(id)?.removal.last_statement
+    }
+
+    /// The identities of the servers removed after the store revision `since`, and the numbers of
+    /// their last statements; `None` if these are
     /// no longer known.
-    pub(super) fn since(&self, since: u64) -> Option<impl Iterator<Item = &String>> {
+    pub(super) fn since(&self, since: u64) -> Option<impl Iterator<Item = (&String, Option<u64>)>> {
         if since < self.complete_since {
             return None;
         }
         let later = self
             .servers
             .iter()
-            .filter(move |removed| removed.removed_by > since);
-        Some(later.map(|removed| &removed.id))
+            .filter(move |removed| removed.removal.by > since);
+        Some(later.map(|removed| (&removed.id, removed.removal.last_statement)))
     }
 }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -2,6 +2,7 @@
 
 use std::{cmp, net};
 
+use super::removed_servers::ServerIncarnation;
 use crate::rollout::spec::VersionTag;
 
 /// Whether a server takes new work.
@@ -34,9 +35,20 @@
     pub state: ServerState,
     /// How much longer it stays cold, in milliseconds, at the time of writing.
     pub cold_ms: u64,
+    /// The number of this statement of the server about itself, which rises within one incarnation;
+    /// `None` if it is not known.
+    pub sequence: Option<u64>,
 }
 
 impl ServerRecord {
+    /// The incarnation that the record describes.
+    pub(super) fn incarnation(&self) -> ServerIncarnation<'_> {
+        ServerIncarnation {
+            id: &self.id,
+            born: self.born,
+        }
+    }
+
     /// Compares this incarnation with another one of the same server, by the reported start times
     /// and not by store revisions. Server clocks may be wrong, so an earlier start never replaces a
     /// later one. A record with a start time is newer than one without; a record without one counts
--- a/src/entry/update_fragment.rs
+++ b/src/entry/update_fragment.rs
@@ -11,13 +11,14 @@
 /// Bytes reserved in each datagram for the rest of the update message.
 const ENVELOPE_BYTES: usize = 300;
 
-/// Bytes that a gone server takes in addition to its ID: the length of the ID and the remaining
-/// retention.
-const GONE_OVERHEAD_BYTES: usize = 4;
+/// Bytes that a gone server takes in addition to its ID: the length of the ID, the remaining
+/// retention and the number of its last statement.
+const GONE_OVERHEAD_BYTES: usize = 15;
 
-/// Splits changes into fragments; returns one empty fragment if there are no changes. Only the last
-/// change of each server is included, because a fragment lists changed and gone servers without
-/// their order.
+/// Splits changes into fragments; returns one empty fragment if there are no changes. Of each server
+/// the last change is included, and those before it whose statement of the server is newer: the
+/// store may do a write late. The recipient orders them by these statements, because a fragment lists
+/// changed and gone servers without their order.
 #[must_use]
 pub fn split_changes(changes: &[ObjectChange]) -> Vec<UpdateFragment> {
     let mut fragments = vec![UpdateFragment::default()];
@@ -26,10 +27,11 @@
         .enumerate()
         .map(|(index, change)| (change.object.name.as_str(), index))
         .collect();
-    let is_last = |(index, change): &(usize, &ObjectChange)| {
-        last.get(change.object.name.as_str()) == Some(index)
+    let is_included = |(index, change): &(usize, &ObjectChange)| {
+        let last = last.get(change.object.name.as_str());
+        last.is_none_or(|last| index == last || is_newer_statement(change, &changes[*last]))
     };
-    let changes = changes.iter().enumerate().filter(is_last);
+    let changes = changes.iter().enumerate().filter(is_included);
     for item in changes.filter_map(|(_, change)| UpdateItem::from_change(change)) {
         if fragments
             .last()
@@ -44,6 +46,16 @@
     fragments
 }
 
+/// Whether a change shows a newer statement of the same incarnation of a server than another one.
+fn is_newer_statement(change: &ObjectChange, other: &ObjectChange) -> bool {
+    match (&change.object.content, &other.object.content) {
+        (ObjectContent::Server(own), ObjectContent::Server(other)) => {
+            own.start_order(other).is_eq() && own.sequence > other.sequence
+        }
+        _ => false,
+    }
+}
+
 /// One server in an update.
 enum UpdateItem {
     /// The server joined or changed; with its encoded size in bytes.
--- a/src/event.rs
+++ b/src/event.rs
@@ -109,6 +109,7 @@
     HandoffFailed = 5031, Warn, "A request was handed over to another host, which did not answer it.";
     WorkAfterDeparture = 5032, Warn, "A request was worked on to its end although its caller had left.";
     RetryAllowed = 5033, Info, "A request is sent to another server within the retry budget of its service.";
+    EntryDoubted = 5034, Warn, "An entry of a backend server holds an older statement than the last known one; it is not believed for now.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/tests/entry_choice.rs
+++ b/tests/entry_choice.rs
@@ -94,6 +94,7 @@
                 slots: *slots,
                 state: ServerState::Ready,
                 cold_ms: 0,
+                sequence: None,
             }),
         })
         .collect();
--- a/tests/entry_fleet.rs
+++ b/tests/entry_fleet.rs
@@ -35,6 +35,7 @@
         slots: 4,
         state,
         cold_ms,
+        sequence: None,
     }
 }
 
@@ -61,6 +62,7 @@
     GoneServer {
         id: id.to_owned(),
         hold_ms,
+        last_statement: None,
     }
 }
 
--- a/tests/entry_fleet_size.rs
+++ b/tests/entry_fleet_size.rs
@@ -37,6 +37,7 @@
             slots: 4,
             state: ServerState::Ready,
             cold_ms: 0,
+            sequence: None,
         }),
     }
 }
--- a/tests/entry_restart.rs
+++ b/tests/entry_restart.rs
@@ -39,6 +39,7 @@
             slots: 4,
             state: ServerState::Ready,
             cold_ms: 0,
+            sequence: None,
         }),
     }
 }
--- a/tests/entry_server_notice.rs
+++ b/tests/entry_server_notice.rs
@@ -44,6 +44,7 @@
             slots: 3,
             state: ServerState::Ready,
             cold_ms: 0,
+            sequence: None,
         }),
     }
 }
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -57,6 +57,7 @@
                 slots: SLOTS,
                 state: ServerState::Ready,
                 cold_ms: 0,
+                sequence: None,
             }),
         })
         .collect();
