An answer that is passed on ends at its request's deadline (CONFIG)

Answers of more than 1 MiB are passed on while they arrive, and nothing ended them: bytes without end were passed on for as long as the server sent them, and a caller whose server fell silent within a download waited until it gave up.

Cause: the attempt's deadline ended with the first mebibyte; the rest was read without one.

Change: a streamed answer has the deadline of its request, the caller's or the route's timeout. Then it is broken off, so it cannot look complete, the connection to the server is closed, and EV5035 says whether the server was silent. Only a silent server counts as failing: with a slow caller it is not at fault. Heads, small bodies, refused bodies and the store's answers are bounded in size and time already (by reading).

--- a/benches/choice.rs
+++ b/benches/choice.rs
@@ -112,6 +112,7 @@
                     slots: 9,
                     state: ServerState::Ready,
                     cold_ms: 0,
+                    sequence: None,
                 }),
             }
         })
--- a/benches/fleet_size.rs
+++ b/benches/fleet_size.rs
@@ -88,6 +88,7 @@
             slots: 8,
             state: ServerState::Ready,
             cold_ms: 0,
+            sequence: None,
         }),
     }
 }
--- a/src/entry/expiry_retention.rs
+++ b/src/entry/expiry_retention.rs
@@ -242,7 +242,7 @@
 
 impl MissingSource<'_> {
     /// The number of a server's last statement about itself, if another host reports it.
-    pub(super) fn last_statement(&self, id: &str) -> Option<u64> {
+    pub(super) fn last_statement(self, id: &str) -> Option<u64> {
         match self {
             Self::Store => None,
             Self::Peer(reported) => reported.last_statements.get(id).copied(),
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -318,16 +318,11 @@
     let status = answer.head.status;
     let body = match answer.remaining {
         None => AnswerBody::whole(answer.buffered),
-        Some((remaining, connection)) => AnswerBody::Streamed {
-            buffered: Some(answer.buffered),
-            remaining,
-            on_end: Some(StreamedAnswer::begin(
-                host,
-                open,
-                connection,
-                (source, answer.head),
-            )),
-        },
+        Some((remaining, connection)) => {
+            let time_left = time::Duration::from_millis(open.deadline.since(host.now()));
+            let stream = StreamedAnswer::begin(host, open, connection, (source, answer.head));
+            AnswerBody::streamed(answer.buffered, remaining, time_left, stream)
+        }
     };
     let mut response = http::Response::new(body);
     *response.status_mut() = status;
--- a/src/entry/streamed_answer.rs
+++ b/src/entry/streamed_answer.rs
@@ -3,6 +3,8 @@
 
 use std::{net, rc};
 
+use serde_json::json;
+
 use super::answer::StreamEnd;
 use super::attempts::AnswerSource;
 use super::configuration::RouteRule;
@@ -17,6 +19,7 @@
 use super::server_answer;
 use super::server_connection::ServerConnection;
 use super::wire::WireProtocol;
+use crate::event::EventCode;
 use crate::timer::Moment;
 
 /// Releases the connection when a streamed answer ends.
@@ -135,6 +138,26 @@
             }
         }
     }
+
+    fn on_deadline(self, is_silent: bool) {
+        let (id, route) = (self.guard.id.clone(), rc::Rc::clone(&self.guard.route));
+        let host = self.guard.complete();
+        let server = match &self.source {
+            StreamSource::Server(stream) => Some(&stream.server),
+            StreamSource::Host(_target) => None,
+        };
+        let fields = json!({
+            "id": id,
+            "route": route.name,
+            "server": server.map(|server| &server.id),
+            "is_silent": is_silent,
+        });
+        host.log_event(EventCode::AnswerOverdue, fields);
+        // Otherwise the caller may be the slow one.
+        if let Some(server) = server.filter(|_| is_silent) {
+            host.on_server_failure(server);
+        }
+    }
 }
 
 fn on_server_stream_end<W: WireProtocol>(
