--- a/src/entry/answer_outcome.rs
+++ b/src/entry/answer_outcome.rs
@@ -101,8 +101,17 @@
     }
 }
 
+/// Whether a status ends a request (RFC 9110, section 15). Others are interim answers, such as 101
+/// to a request that asked for no other protocol, or belong to no class.
+fn is_final_status(status: http::StatusCode) -> bool {
+    (200..=599).contains(&status.as_u16())
+}
+
 /// Why an answer must not be forwarded to the caller, if so.
 fn loss_cause(head: &http::response::Parts, answer: &ServerHead<'_>) -> Option<LossCause> {
+    if !is_final_status(head.status) {
+        return Some(LossCause::NoFinalStatus);
+    }
     if head.status.is_success() && !answer.signed {
         return Some(LossCause::Unsigned);
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -77,6 +77,8 @@
     WrongRequest,
     /// The answer carries no id and may belong to an earlier request on the connection.
     NoRequestId,
+    /// The answer's status is none that ends a request.
+    NoFinalStatus,
     /// The answer reports success without the server's signature.
     Unsigned,
     /// The status implies that the request has not run, but the server does not confirm it.
@@ -93,6 +95,7 @@
             Self::Truncated => "the answer broke off",
             Self::WrongRequest => "the answer belongs to another request",
             Self::NoRequestId => "the answer carries no request id",
+            Self::NoFinalStatus => "an answer whose status ends no request",
             Self::Unsigned => "a success without the server's signature",
             Self::UnconfirmedRefusal => "a refusal that does not say that the request did not run",
         }
