--- a/src/entry/attempts/mod.rs
+++ b/src/entry/attempts/mod.rs
@@ -175,6 +175,10 @@
         if self.open.deadline.since(self.host.now()) < MIN_TIME_LEFT_MS {
             return Ok(None);
         }
+        // It has waited here while the host began to stop. Another host can still serve it.
+        if self.sent == 0 && self.host.may_stop_before(self.open.deadline) {
+            return Err(RequestFailure::LEAVING);
+        }
         // The request may have been blocked while it waited, or because of its own last attempt.
         let is_first_probe_attempt =
             self.admission == SuspectAdmission::Probe && self.attempt_count == 0;
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -15,6 +15,9 @@
 /// The grace period divided by this is its first part, in which a stopping host accepts any
 /// request. Later it accepts only requests that are certain to complete before it stops.
 const OPEN_GRACE_DIVISOR: u32 = 2;
+/// The longest first part of the grace period. Callers know by then that the host stops, and a
+/// request that comes later must not be cut off at the end.
+const MAX_OPEN_TIME: time::Duration = time::Duration::from_secs(3);
 /// A host that was told to stop exits early after this time without requests, in milliseconds. It
 /// is longer than callers cache a lookup answer.
 const QUIET_BEFORE_STOP_MS: u64 = 2_500;
@@ -67,8 +70,8 @@
         let Some(since) = self.stop.leaving_since.get() else {
             return false;
         };
-        let open_ms = self.settings().bounds.stop_grace / OPEN_GRACE_DIVISOR;
-        let open_until = since.plus(open_ms.as_millis() as u64);
+        let open_time = self.settings().bounds.stop_grace / OPEN_GRACE_DIVISOR;
+        let open_until = since.plus(open_time.min(MAX_OPEN_TIME).as_millis() as u64);
         self.now() >= open_until && deadline >= self.exit_deadline(since)
     }
 
