--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -84,7 +84,8 @@
         let now = self.now();
         let last_request = self.stop.last_request.get().max(since);
         let quiet = now.since(last_request) > QUIET_BEFORE_STOP_MS;
-        now >= self.exit_deadline(since) || (quiet && self.open_requests() == 0)
+        let is_idle = self.open_requests() == 0 && self.open_answers.get() == 0;
+        now >= self.exit_deadline(since) || (quiet && is_idle)
     }
 
     fn exit_deadline(&self, leaving_since: Moment) -> Moment {
