--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -100,7 +100,6 @@
             }
             let known = position.or_else(|| self.known_position());
             let known = known.filter(|_| !must_list);
-            let is_list = known.is_none();
             let result = match known {
                 None => self.list().await,
                 Some(revision) => self.watch(revision).await,
@@ -113,8 +112,9 @@
                 // The state from before is out of date as well.
                 Err(StoreFault::HistoryGone | StoreFault::FormerEpoch) => must_list = true,
                 Err(fault) => {
-                    // A list of which a part was applied is not complete.
-                    must_list |= is_list && matches!(fault, StoreFault::Malformed(_));
+                    // A list of which a part was applied is not complete. A watch with an event
+                    // that is not JSON would be the same again; a list can be read around it.
+                    must_list |= matches!(fault, StoreFault::Malformed(_));
                     self.back_off().await;
                 }
             }
--- a/src/entry/placement_role.rs
+++ b/src/entry/placement_role.rs
@@ -55,7 +55,8 @@
                 && !evacuated.contains(&*server.hall)
             {
                 let capacity = halls.entry(server.hall.to_string());
-                capacity.or_insert_with(|| empty(&server.hall)).slots += server.slots;
+                let capacity = capacity.or_insert_with(|| empty(&server.hall));
+                capacity.slots = capacity.slots.saturating_add(server.slots);
             }
         }
         halls.into_values().collect()
--- a/src/entry/region_weights.rs
+++ b/src/entry/region_weights.rs
@@ -204,7 +204,8 @@
         let evacuated = self.evacuated_halls();
         for server in self.fleet.borrow().of_service(service) {
             if server.takes_work() && !evacuated.contains(&*server.hall) {
-                *slots.entry(rc::Rc::clone(&server.region)).or_default() += server.slots;
+                let slots = slots.entry(rc::Rc::clone(&server.region)).or_default();
+                *slots = slots.saturating_add(server.slots);
             }
         }
         let with_hosts = hosts.keys().map(String::as_str);
