A host with an older configuration does not serve handed-over requests (CONFIG)

Cause: the message of a handoff did not carry the version by which its service was chosen.

Change: it does, and a host whose configuration is older refuses the request unrun, so that the first host asks another one.

--- a/src/entry/handoff/message.rs
+++ b/src/entry/handoff/message.rs
@@ -34,6 +34,8 @@
     pub customer: Option<String>,
     /// The service selected for the request.
     pub service: String,
+    /// The version of the configuration by which it was selected.
+    pub version: u64,
     /// Time since the request arrived, in milliseconds.
     pub age_ms: u64,
     /// Time until its deadline, in milliseconds.
@@ -72,6 +74,7 @@
     ///     headers: vec![("host".to_owned(), b"desk.example".to_vec())],
     ///     customer: None,
     ///     service: "desk".to_owned(),
+    ///     version: 2,
     ///     age_ms: 3,
     ///     time_left_ms: 900,
     ///     sends: 0,
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -115,6 +115,7 @@
             headers: headers.collect(),
             customer: open.customer.as_ref().map(|rule| rule.name.clone()),
             service: open.service.clone(),
+            version: open.version,
             age_ms: now.since(open.arrived),
             time_left_ms: open.deadline.since(now),
             sends: progress.sends,
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -47,6 +47,8 @@
     pub(super) route: rc::Rc<RouteRule>,
     /// The service sampled from the route's services by weight.
     pub(super) service: String,
+    /// The version of the configuration by which it was sampled.
+    pub(super) version: u64,
     /// A hash of the requested object's key, if the route is sticky.
     pub(super) object: Option<u64>,
     /// When the request's head was read.
@@ -89,6 +91,7 @@
         let customer = find_customer(&routes, &route, caller.key)?;
         let homes = allowed_regions(&route, customer.as_deref())?;
         let service = sample_service(host, &route);
+        let version = routes.configuration().version;
         let limit = routes.configuration().limits.body_bytes;
         let body = read_body(body, usize::try_from(limit).unwrap_or(usize::MAX)).await?;
         let deadline = arrived.plus(request_timeout(&caller, &route).as_millis() as u64);
@@ -108,6 +111,7 @@
             deadline,
             caller_timeout: caller.time_left,
             service,
+            version,
             forward: ForwardRequest {
                 id: caller.request_id.map(str::to_owned),
                 method: head.method,
@@ -125,7 +129,7 @@
     }
 
     /// Restores a request that another host has read. Its route is matched again, since this host's
-    /// configuration may be newer.
+    /// configuration may be newer. If it is older, this host does not serve the request.
     pub(super) fn from_handoff<W: WireProtocol>(
         host: &EntryHost<W>,
         request: HandoffRequest,
@@ -133,6 +137,11 @@
     ) -> Result<Self, RequestFailure> {
         let routes = host.routes().ok_or(RequestFailure::UNCONFIGURED)?;
         let HandoffRequest { head, body } = request;
+        let version = routes.configuration().version;
+        // An older configuration may send it to a service that it must no longer reach.
+        if version < head.version {
+            return Err(RequestFailure::UNCONFIGURED);
+        }
         let malformed = RequestFailure::NO_ROUTE;
         let method = head.method.parse().map_err(|_invalid| malformed)?;
         let uri: http::Uri = head.uri.parse().map_err(|_invalid| malformed)?;
@@ -161,6 +170,7 @@
             deadline,
             caller_timeout: caller.time_left,
             service,
+            version,
             forward: ForwardRequest {
                 id: head.id,
                 method,
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -78,7 +78,7 @@
     pub(super) const UNCONFIGURED: Self = Self::refused(
         RequestCompletion::RefusedUnconfigured,
         NO_CONFIGURATION_RETRY_MS,
-        "no configuration yet",
+        "no configuration yet, or one that is too old",
     );
     /// The host has no list of servers yet.
     pub(super) const NO_SERVER_LIST: Self = Self::refused(
