--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -4,6 +4,7 @@
 use std::{cell, convert, net, rc, time};
 
 use bytes::Bytes;
+use http_body::Body as _;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -24,6 +25,7 @@
 use super::{catch_up, handoff, join, peer_message, request, retention_review};
 use crate::error::{self, Error};
 use crate::listener;
+use crate::request_boundary::{BoundaryStream, RequestBoundary};
 use crate::result_code::ResultCode;
 use crate::shared_stream::SharedStream;
 use crate::urgency::pipeline::RequestPipeline;
@@ -126,11 +128,14 @@
     let stream = SharedStream::from(stream);
     let departure = rc::Rc::new(CallerDeparture::default());
     let pipeline = cell::RefCell::new(RequestPipeline::default());
+    let boundary = rc::Rc::new(RequestBoundary::default());
     let service = service_fn(|request: http::Request<Incoming>| {
         let sent_from = pipeline.borrow_mut().on_request(host.now());
+        boundary.on_request(request.body().size_hint().exact());
         let arrival = RequestArrival {
             sent_from,
             departure: rc::Rc::clone(&departure),
+            boundary: rc::Rc::clone(&boundary),
         };
         let answer = request::serve(rc::Rc::clone(&host), request, arrival);
         let (host, pipeline) = (&host, &pipeline);
@@ -140,8 +145,9 @@
             Ok::<_, convert::Infallible>(answer)
         }
     });
+    let requests = BoundaryStream::new(stream.clone(), rc::Rc::clone(&boundary));
     let connection =
-        builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(stream.clone()), service);
+        builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(requests), service);
     serve_until_left(&host, &stream, &departure, connection).await;
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -27,6 +27,7 @@
 use super::wire::WireProtocol;
 use crate::connection_headers;
 use crate::event::EventCode;
+use crate::request_boundary::RequestBoundary;
 use crate::result_code::CODE_HEADER;
 use crate::timer::Moment;
 
@@ -40,6 +41,8 @@
     pub sent_from: Moment,
     /// Whether its caller has left.
     pub departure: rc::Rc<CallerDeparture>,
+    /// Whether another request was read behind it.
+    pub boundary: rc::Rc<RequestBoundary>,
 }
 
 /// Serves one request and returns the response for the caller.
@@ -58,7 +61,7 @@
     };
     let progress = rc::Rc::clone(&guard.progress);
     let open = OpenRequest::read(&host, request, times, progress).await;
-    let response = match process(&mut guard, open).await {
+    let mut response = match process(&mut guard, open).await {
         Ok(response) => response,
         Err(failure) if failure.completion == RequestCompletion::CallerLeft => {
             // The guard records the departure.
@@ -67,6 +70,10 @@
         Err(failure) => guard.fail(failure),
     };
     guard.complete();
+    // A request that was read must be answered, also if the host stops.
+    if !arrival.boundary.has_next() {
+        close_if_unwanted(&host, response.headers_mut());
+    }
     response
 }
 
@@ -82,9 +89,10 @@
     let id = request.head.id.clone().unwrap_or_default();
     let mut guard = RequestGuard::begin(&host, id, departure);
     let open = OpenRequest::from_handoff(&host, request, rc::Rc::clone(&guard.progress));
-    let result = process(&mut guard, open).await;
-    if let Err(failure) = &result {
-        guard.record_failure(failure);
+    let mut result = process(&mut guard, open).await;
+    match &mut result {
+        Ok(response) => close_if_unwanted(&host, response.headers_mut()),
+        Err(failure) => guard.record_failure(failure),
     }
     guard.complete();
     result
@@ -217,7 +225,6 @@
             let after = time::Duration::from_millis(retry_after_ms);
             host.wire.write_retry_after(response.headers_mut(), after);
         }
-        close_if_unwanted(host, response.headers_mut());
         response
     }
 }
@@ -327,7 +334,6 @@
     let mut response = http::Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
-    close_if_unwanted(host, response.headers_mut());
     response
 }
 
--- /dev/null
+++ b/src/request_boundary.rs
@@ -0,0 +1,191 @@
+//! Finds where the requests of a connection begin, to tell whether another one has been read behind
+//! the current one.
+//!
+//! An HTTP server reads ahead: one read may return several requests that a caller sent without
+//! waiting (RFC 9112, section 9.3.2). A server that closes the connection after an answer drops those
+//! behind it, although it has read them. [`BoundaryStream`] passes on at most one head at a time and
+//! keeps the rest.
+
+use std::{cell, io, pin, rc, task};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::shared_stream::SharedStream;
+
+/// What the next bytes of the stream belong to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum ReadPart {
+    /// Empty lines before a head, or the head itself.
+    #[default]
+    BeforeHead,
+    /// The head; `line_start` tells whether the last line is empty so far.
+    Head { line_start: bool },
+    /// A head was passed on, and its request has not begun yet.
+    AfterHead,
+    /// The rest of a body, in bytes.
+    Body(u64),
+    /// The requests cannot be told apart any more: a body came without a length.
+    Unknown,
+}
+
+/// How far the requests of a connection have been read.
+#[derive(Debug, Default)]
+pub struct RequestBoundary {
+    part: cell::Cell<ReadPart>,
+    /// Bytes that were read behind the part that was passed on.
+    rest: cell::RefCell<Vec<u8>>,
+    /// Heads that were passed on and whose requests have not begun.
+    waiting_heads: cell::Cell<u32>,
+}
+
+impl RequestBoundary {
+    /// Records that the next request begins. `body_length` is that of its body, in bytes; `None` if
+    /// it has no stated length.
+    pub fn on_request(&self, body_length: Option<u64>) {
+        let waiting = self.waiting_heads.get();
+        self.waiting_heads.set(waiting.saturating_sub(1));
+        if self.part.get() == ReadPart::AfterHead {
+            self.part.set(match body_length {
+                Some(0) => ReadPart::BeforeHead,
+                Some(length) => ReadPart::Body(length),
+                None => ReadPart::Unknown,
+            });
+        }
+    }
+
+    /// Whether another request was read, at least in part, behind the one that began last.
+    ///
+    /// ```
+    /// use ledgespool::request_boundary::RequestBoundary;
+    /// let boundary = RequestBoundary::default();
+    /// assert_eq!(boundary.take_part(b"GET / HTTP/1.1\r\n\r\nGET /two"), 18);
+    /// boundary.on_request(Some(0));
+    /// assert!(!boundary.has_next(), "the rest was not kept");
+    /// boundary.take_part(b"GET /two HTTP/1.1\r\n\r\n");
+    /// assert!(boundary.has_next(), "it has not begun");
+    /// boundary.on_request(Some(0));
+    /// assert!(!boundary.has_next());
+    /// ```
+    #[must_use]
+    pub fn has_next(&self) -> bool {
+        self.waiting_heads.get() > 0 || !self.rest.borrow().is_empty()
+    }
+
+    /// The number of `bytes` that may be passed on: up to the end of a head or a body.
+    #[must_use]
+    pub fn take_part(&self, bytes: &[u8]) -> usize {
+        match self.part.get() {
+            ReadPart::BeforeHead | ReadPart::Head { .. } => self.take_head(bytes),
+            ReadPart::Body(left) => {
+                let taken = usize::try_from(left).unwrap_or(usize::MAX).min(bytes.len());
+                let left = left - taken as u64;
+                self.part.set(match left {
+                    0 => ReadPart::BeforeHead,
+                    left => ReadPart::Body(left),
+                });
+                taken
+            }
+            // The server reads on before it begins the request, so it sees other boundaries.
+            ReadPart::AfterHead | ReadPart::Unknown => {
+                self.part.set(ReadPart::Unknown);
+                self.waiting_heads.set(0);
+                bytes.len()
+            }
+        }
+    }
+
+    fn take_head(&self, bytes: &[u8]) -> usize {
+        let mut part = self.part.get();
+        for (at, byte) in bytes.iter().enumerate() {
+            part = match (part, byte) {
+                (ReadPart::BeforeHead, b'\r' | b'\n') => ReadPart::BeforeHead,
+                (ReadPart::Head { line_start: true }, b'\n') => ReadPart::AfterHead,
+                (ReadPart::Head { line_start: true }, b'\r') => part,
+                (_, b'\n') => ReadPart::Head { line_start: true },
+                _ => ReadPart::Head { line_start: false },
+            };
+            if part == ReadPart::AfterHead {
+                self.part.set(part);
+                self.waiting_heads.set(self.waiting_heads.get() + 1);
+                return at + 1;
+            }
+        }
+        self.part.set(part);
+        bytes.len()
+    }
+}
+
+/// A stream that is read up to the end of each head and each body.
+#[derive(Debug)]
+pub struct BoundaryStream {
+    stream: SharedStream,
+    boundary: rc::Rc<RequestBoundary>,
+}
+
+impl BoundaryStream {
+    /// Reads `stream` and records its requests in `boundary`.
+    #[must_use]
+    pub const fn new(stream: SharedStream, boundary: rc::Rc<RequestBoundary>) -> Self {
+        Self { stream, boundary }
+    }
+}
+
+impl AsyncRead for BoundaryStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let boundary = rc::Rc::clone(&self.boundary);
+        let mut rest = boundary.rest.borrow_mut();
+        if !rest.is_empty() {
+            let fitting = rest.len().min(buf.remaining());
+            let taken = boundary.take_part(&rest[..fitting]);
+            buf.put_slice(&rest[..taken]);
+            rest.drain(..taken);
+            return task::Poll::Ready(Ok(()));
+        }
+        let before = buf.filled().len();
+        task::ready!(pin::Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let taken = boundary.take_part(&buf.filled()[before..]);
+        rest.extend_from_slice(&buf.filled()[before + taken..]);
+        buf.set_filled(before + taken);
+        task::Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for BoundaryStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
