An older statement that says the same as before is not doubted

After a return of the store from an older copy, every server's entry has an older number, and each would have been logged as doubted. Only entries that would change something are; a revision never goes back. Found by reading the change again; an_older_statement_that_says_the_same_is_not_doubted fails without it.

--- a/src/entry/entry_order.rs
+++ b/src/entry/entry_order.rs
@@ -9,7 +9,7 @@
 
 use std::{cmp, collections};
 
-use super::fleet::{Fleet, FleetEntry};
+use super::fleet::{Fleet, FleetEntry, StoredState};
 use super::fleet_change::FleetChange;
 use super::server::{self, ServerRecord, ServerState};
 use super::settings::HallMap;
@@ -22,7 +22,7 @@
 
 /// How an entry relates to what is known of its server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum EntryOrder {
+enum EntryOrder {
     /// It is newer, or nothing is known.
     Newer,
     /// It describes an earlier state.
@@ -81,9 +81,23 @@
 }
 
 impl Fleet {
+    /// Applies an entry unless something newer is known of its server.
+    pub(super) fn apply_in_order(
+        &mut self,
+        object: &StoredObject,
+        halls: &HallMap,
+        now: Moment,
+    ) -> Option<FleetChange> {
+        match self.entry_order(object) {
+            EntryOrder::Newer => self.apply_entry(object, halls, now),
+            EntryOrder::Doubtful => self.doubt(object, now),
+            EntryOrder::Outdated => None,
+        }
+    }
+
     /// How an entry relates to what is known of its server: by the reported starts, then by the
     /// numbers of the statements, then by the store's revisions.
-    pub(super) fn entry_order(&self, object: &StoredObject) -> EntryOrder {
+    fn entry_order(&self, object: &StoredObject) -> EntryOrder {
         let by_revision = match self.entries.get(&*object.name) {
             Some(known) if known.revision > object.revision => EntryOrder::Outdated,
             _ => EntryOrder::Newer,
@@ -111,7 +125,7 @@
     }
 
     /// Keeps an older statement until it is believed or replaced.
-    pub(super) fn doubt(&mut self, object: &StoredObject, now: Moment) -> Option<FleetChange> {
+    fn doubt(&mut self, object: &StoredObject, now: Moment) -> Option<FleetChange> {
         let is_new = self.doubted.put(object, now);
         is_new.then(|| FleetChange::Doubted(object.name.clone()))
     }
@@ -121,6 +135,10 @@
         let mut changes = Vec::new();
         for object in self.doubted.take_due(now) {
             let before = self.server(&object.name).cloned();
+            if let Some(known) = self.entries.get_mut(&*object.name) {
+                // The server counts anew.
+                known.stored.sequence = None;
+            }
             changes.extend(self.apply_entry(&object, halls, now));
             let after = self.server(&object.name).cloned();
             self.replace_indexed(before.as_ref(), after.as_ref());
@@ -133,6 +151,9 @@
     /// The order of a statement of the same incarnation; `None` if the numbers do not tell.
     fn statement_order(&self, record: &ServerRecord) -> Option<EntryOrder> {
         let (own, last) = (record.sequence?, self.stored.sequence?);
+        if own < last && self.is_readable && self.stored.says_same(&StoredState::of(record)) {
+            return None;
+        }
         let is_withdrawn_notice = own == last
             && self.is_readable
             && self.stored.state == ServerState::Draining
--- a/src/entry/fleet.rs
+++ b/src/entry/fleet.rs
@@ -6,7 +6,7 @@
 
 use std::{cmp, collections, rc};
 
-use super::entry_order::{DoubtedEntries, EntryOrder};
+use super::entry_order::DoubtedEntries;
 use super::expiry_retention::{ExpiryRetention, MissingSource, ReturnObservation};
 use super::fleet_change::{ChangeSpan, FleetChange, RetainedServer};
 use super::fleet_index::FleetIndex;
@@ -210,11 +210,7 @@
             changes.extend(self.remove(&id, revision, source, now));
         }
         for object in objects {
-            changes.extend(match self.entry_order(object) {
-                EntryOrder::Newer => self.apply_entry(object, halls, now),
-                EntryOrder::Doubtful => self.doubt(object, now),
-                EntryOrder::Outdated => None,
-            });
+            changes.extend(self.apply_in_order(object, halls, now));
         }
         self.doubted.retain_listed(objects);
         self.revision = revision;
@@ -304,11 +300,7 @@
             if change.deleted {
                 changes.extend(self.apply_removal(&change.object, span.until, source, now));
             } else if change.object.revision > self.revision || self.contains(id) {
-                changes.extend(match self.entry_order(&change.object) {
-                    EntryOrder::Newer => self.apply_entry(&change.object, halls, now),
-                    EntryOrder::Doubtful => self.doubt(&change.object, now),
-                    EntryOrder::Outdated => None,
-                });
+                changes.extend(self.apply_in_order(&change.object, halls, now));
             }
             let after = self.entries.get(id.as_str()).map(|entry| &entry.server);
             self.index.replace(before.as_ref(), after);
--- a/src/entry/fleet_apply.rs
+++ b/src/entry/fleet_apply.rs
@@ -57,7 +57,8 @@
         let may_be_stale = !is_restarted && self.may_be_stale(object, record);
         let ejected_until = may_be_stale.then(|| now.plus(store_epoch::EPOCH_SETTLE_MS));
         if !is_restarted && let Some(entry) = self.entries.get_mut(&*record.id) {
-            entry.revision = object.revision;
+            // A newer statement may have the older revision.
+            entry.revision = entry.revision.max(object.revision);
             let change = entry.update(record, now);
             if let Some(until) = ejected_until {
                 entry.server.eject_until(until);
@@ -114,7 +115,7 @@
         let before = self.stored;
         self.stored = StoredState {
             born: record.born.or(before.born),
-            sequence: record.sequence.or(before.sequence),
+            sequence: record.sequence.max(before.sequence),
             ..StoredState::of(record)
         };
         self.is_readable = true;
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -329,10 +329,10 @@
         let now = self.now();
         self.log_stall(now);
         self.update_watch_role();
-        let halls = self.settings();
+        let settings = self.settings();
         let mut fleet = self.fleet.borrow_mut();
         let mut changes = fleet.on_tick(now);
-        changes.extend(fleet.on_doubts_over(&halls.halls, now));
+        changes.extend(fleet.on_doubts_over(&settings.halls, now));
         drop(fleet);
         self.log_fleet_changes(&changes, "timer");
         let fleet = self.fleet.borrow();
--- a/src/entry/removed_servers.rs
+++ b/src/entry/removed_servers.rs
@@ -153,8 +153,7 @@
     }
 
     /// The identities of the servers removed after the store revision `since`, and the numbers of
-    /// their last statements; `None` if these are
-    /// no longer known.
+    /// their last statements; `None` if these are no longer known.
     pub(super) fn since(&self, since: u64) -> Option<impl Iterator<Item = (&String, Option<u64>)>> {
         if since < self.complete_since {
             return None;
--- a/src/entry/store_updates.rs
+++ b/src/entry/store_updates.rs
@@ -53,8 +53,8 @@
     announcements::announce_start(host);
 }
 
-/// Applies the readable part of a list. Servers that are not in
-/// it may be in the rest, so none is removed. The fleet is not current up to any revision then.
+/// Applies the readable part of a list. Servers that are not in it may be in the rest, so none is
+/// removed. The fleet is not current up to any revision then.
 pub(super) fn on_incomplete_list<W: WireProtocol>(
     host: &EntryHost<W>,
     kind: ObjectKind,
--- a/tests/entry_late_writes.rs
+++ b/tests/entry_late_writes.rs
@@ -252,3 +252,17 @@
     apply(&mut fleet, &[put(entry(6, 4, Ready))], 6, 1_500);
     assert!(takes_work(&fleet));
 }
+
+/// Guards against doubts about all servers after the store has returned from an older copy: most of
+/// its entries say the same as before.
+#[test]
+fn an_older_statement_that_says_the_same_is_not_doubted() {
+    let mut fleet = fleet(entry(3, 40, Ready));
+    let changes = apply(&mut fleet, &[put(entry(6, 30, Ready))], 6, 1_000);
+    assert_eq!(changes, []);
+    assert!(takes_work(&fleet));
+    // Its notice has a higher number than the last one that was seen.
+    apply(&mut fleet, &[put(entry(8, 41, Draining))], 8, 1_500);
+    apply(&mut fleet, &[put(entry(9, 35, Ready))], 9, 2_000);
+    assert!(!takes_work(&fleet));
+}
