--- a/src/request_boundary.rs
+++ b/src/request_boundary.rs
@@ -24,7 +24,7 @@
     AfterHead,
     /// The rest of a body, in bytes.
     Body(u64),
-    /// The requests cannot be told apart any more: a body came without a length.
+    /// The boundaries are not known any more: a body came without a length.
     Unknown,
 }
 
