Put the pieces of a body together while they arrive

Callers whose bodies came in small pieces or very small chunks made a host use many times the memory of their bodies: 16 bodies of 1 MB in pieces of 512 bytes took 164 MB, 32 bodies of 2 KB in chunks of one byte 99 MB, 8 bodies of 600 KB in such chunks 157 to 164 MB.

Cause: each piece that the HTTP library returns is a reference to its read buffer, 32 bytes itself, and the pieces were kept until the body was complete. A piece that arrives on its own keeps a buffer of 8 KB allocated.

BodyBuffer copies each piece into blocks of 4 to 64 KB and drops it. A body is forwarded in these blocks (RequestBody), also to another host, so that a large one is never copied as a whole; the encoded message of a handoff is the same as before, and so are fingerprints (a test compares bodies in other parts).

--- a/src/entry/catch_up.rs
+++ b/src/entry/catch_up.rs
@@ -2,8 +2,6 @@
 
 use std::{cell, net, rc, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use rand::Rng as _;
 use serde_json::json;
 
@@ -19,6 +17,7 @@
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::http_client;
+use crate::request_body::RequestBody;
 
 /// Path of the snapshot of everything that a host knows.
 pub const SNAPSHOT_PATH: &str = "/snapshot";
@@ -278,7 +277,7 @@
     let request = http::Request::builder()
         .uri(path)
         .header(http::header::HOST, "peer")
-        .body(Full::new(Bytes::new()))
+        .body(RequestBody::default())
         .ok()?;
     let answer = http_client::exchange(source, request, FETCH_TIMEOUT, MAX_ANSWER_BYTES).await;
     let Ok(answer) = answer else {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -2,9 +2,6 @@
 
 use std::{cell, rc, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
-
 use super::answer_outcome::{SentRequest, outcome_from_head};
 use super::departure::RequestProgress;
 use super::fleet_server::FleetServer;
@@ -15,6 +12,7 @@
 use super::server_connection::{SendTrace, ServerConnection};
 use super::server_limit::token::SendToken;
 use super::wire::WireProtocol;
+use crate::request_body::RequestBody;
 use crate::timer::{BootClock, Moment};
 
 /// A request in the form in which it is sent to backend servers.
@@ -29,7 +27,7 @@
     /// The caller's headers without the hop-by-hop headers.
     pub headers: http::HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Whether the request is safe to run more than once.
     pub is_retryable: bool,
 }
@@ -313,7 +311,7 @@
     request: &ForwardRequest,
     time_left: time::Duration,
 ) -> ServerMessage {
-    let mut message = http::Request::new(Full::new(request.body.clone()));
+    let mut message = http::Request::new(request.body.clone());
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
     *message.headers_mut() = request.headers.clone();
--- a/src/entry/fingerprint.rs
+++ b/src/entry/fingerprint.rs
@@ -21,8 +21,8 @@
     pub site: &'a [u8],
     /// The path and query.
     pub path: &'a str,
-    /// The complete body.
-    pub body: &'a [u8],
+    /// The complete body, in parts of any length.
+    pub body: &'a [&'a [u8]],
 }
 
 /// A hash of the parts that a request shares with its repeats. All hosts compute the same value.
@@ -34,7 +34,7 @@
 ///     method: "GET",
 ///     site: b"desk.example",
 ///     path: "/read/1",
-///     body: b"",
+///     body: &[],
 /// };
 /// let other = RequestContent { customer: "bank", ..content };
 /// assert_eq!(RequestFingerprint::of(&content), RequestFingerprint::of(&content));
@@ -54,7 +54,7 @@
         hash_field(&mut hasher, content.method.as_bytes());
         hash_field(&mut hasher, &content.site.to_ascii_lowercase());
         hash_field(&mut hasher, content.path.as_bytes());
-        hash_field(&mut hasher, content.body);
+        hash_parts(&mut hasher, content.body);
         Self(hasher.digest())
     }
 }
@@ -62,8 +62,15 @@
 /// Hashes the length before the bytes, so that moving bytes from one field to the next changes the
 /// fingerprint.
 fn hash_field(hasher: &mut Xxh3, field: &[u8]) {
-    hasher.update(&(field.len() as u64).to_le_bytes());
-    hasher.update(field);
+    hash_parts(hasher, &[field]);
+}
+
+fn hash_parts(hasher: &mut Xxh3, parts: &[&[u8]]) {
+    let length: usize = parts.iter().map(|part| part.len()).sum();
+    hasher.update(&(length as u64).to_le_bytes());
+    for part in parts {
+        hasher.update(part);
+    }
 }
 
 impl fmt::Display for RequestFingerprint {
--- a/src/entry/handoff/message.rs
+++ b/src/entry/handoff/message.rs
@@ -4,6 +4,7 @@
 
 use crate::entry::metrics_page::RequestCompletion;
 use crate::entry::peer_message::{self, PeerFormatError};
+use crate::request_body::RequestBody;
 
 /// States in a response whether it is a server's answer or a [`HandoffFailure`].
 pub const HANDOFF_HEADER: &str = "x-ledgespool-handoff";
@@ -54,11 +55,11 @@
     /// Everything but the body.
     pub head: HandoffHead,
     /// The whole body.
-    pub body: Bytes,
+    pub body: RequestBody,
 }
 
 impl HandoffRequest {
-    /// Encodes the request.
+    /// Encodes the request. The message shares the memory of the body.
     ///
     /// # Errors
     /// `Malformed` when the head cannot be written.
@@ -82,35 +83,37 @@
     ///     is_probe: false,
     /// };
     /// let request = HandoffRequest { head, body: "body".into() };
-    /// let bytes = request.to_bytes()?;
-    /// assert_eq!(HandoffRequest::from_bytes(&bytes)?, request);
-    /// assert!(HandoffRequest::from_bytes(&bytes.slice(..7)).is_err());
+    /// let message = request.to_message()?;
+    /// assert_eq!(HandoffRequest::from_message(&message)?, request);
+    /// assert!(HandoffRequest::from_message(&"body".into()).is_err());
     /// # Ok::<(), ledgespool::entry::peer_message::PeerFormatError>(())
     /// ```
-    pub fn to_bytes(&self) -> Result<Bytes, PeerFormatError> {
+    pub fn to_message(&self) -> Result<RequestBody, PeerFormatError> {
         let head = peer_message::to_bytes(&self.head)?;
         let length = u32::try_from(head.len()).map_err(|_too_long| PeerFormatError::OtherFormat)?;
-        let mut bytes = Vec::with_capacity(LENGTH_BYTES + head.len() + self.body.len());
+        let mut bytes = Vec::with_capacity(LENGTH_BYTES + head.len());
         bytes.extend_from_slice(&length.to_le_bytes());
         bytes.extend_from_slice(&head);
-        bytes.extend_from_slice(&self.body);
-        Ok(Bytes::from(bytes))
+        Ok(self.body.after(Bytes::from(bytes)))
     }
 
-    /// Decodes a request. The body shares the memory of `bytes`.
+    /// Decodes a request. The body shares the memory of the message.
     ///
     /// # Errors
     /// `OtherFormat` or `Malformed`.
-    pub fn from_bytes(bytes: &Bytes) -> Result<Self, PeerFormatError> {
-        let (length, rest) = bytes
-            .split_first_chunk::<LENGTH_BYTES>()
+    pub fn from_message(message: &RequestBody) -> Result<Self, PeerFormatError> {
+        let (length, rest) = message
+            .split_at(LENGTH_BYTES)
             .ok_or(PeerFormatError::OtherFormat)?;
-        let length = usize::try_from(u32::from_le_bytes(*length))
+        let length = length
+            .try_into()
+            .map_err(|_other_length| PeerFormatError::OtherFormat)?;
+        let length = usize::try_from(u32::from_le_bytes(length))
             .map_err(|_too_long| PeerFormatError::OtherFormat)?;
-        let head = rest.get(..length).ok_or(PeerFormatError::OtherFormat)?;
+        let (head, body) = rest.split_at(length).ok_or(PeerFormatError::OtherFormat)?;
         Ok(Self {
-            head: peer_message::from_bytes(head)?,
-            body: bytes.slice(LENGTH_BYTES + length..),
+            head: peer_message::from_bytes(&head)?,
+            body,
         })
     }
 }
--- a/src/entry/handoff/receiver.rs
+++ b/src/entry/handoff/receiver.rs
@@ -16,6 +16,7 @@
 use crate::entry::request::{self, CallerResponse};
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::wire::WireProtocol;
+use crate::request_body::RequestBody;
 
 /// Added to the largest body of a caller's request, in bytes: the encoded head with all headers.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
@@ -55,8 +56,8 @@
     let limit = usize::try_from(limit).unwrap_or(usize::MAX);
     let body = Limited::new(body, limit.saturating_add(MAX_HEAD_BYTES)).collect();
     let whole = tokio::time::timeout(MESSAGE_TIMEOUT, body).await;
-    let bytes = whole.ok()?.ok()?.to_bytes();
-    match HandoffRequest::from_bytes(&bytes) {
+    let message = RequestBody::from(whole.ok()?.ok()?.to_bytes());
+    match HandoffRequest::from_message(&message) {
         Ok(request) => {
             let run = host.peers.borrow().run_of(&request.head.host);
             (run == request.head.run).then_some(request)
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -2,8 +2,7 @@
 
 use std::time;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 
 use super::HANDOFF_PATH;
@@ -20,6 +19,7 @@
 use crate::entry::server_connection::{ConnectionRecord, ServerConnection};
 use crate::entry::wire::WireProtocol;
 use crate::http_client::{self, ClientSender, ExchangeFault};
+use crate::request_body::RequestBody;
 use crate::tcp_keepalive::ProbeStart;
 
 /// Timeout for opening a connection to another host.
@@ -100,7 +100,7 @@
     host: &EntryHost<W>,
     open: &OpenRequest,
     progress: HandoffProgress,
-) -> Option<Bytes> {
+) -> Option<RequestBody> {
     let now = host.now();
     let forward = &open.forward;
     let headers = forward.headers.iter();
@@ -124,8 +124,8 @@
         },
         body: forward.body.clone(),
     };
-    match request.to_bytes() {
-        Ok(bytes) => Some(bytes),
+    match request.to_message() {
+        Ok(message) => Some(message),
         Err(fault) => {
             host.log_malformed_message("self", &fault);
             None
@@ -138,9 +138,9 @@
     host: &EntryHost<W>,
     target: &HandoffTarget,
     mut sender: ClientSender,
-    message: Bytes,
+    message: RequestBody,
 ) -> Option<HandoffOutcome> {
-    let mut request = http::Request::new(Full::new(message));
+    let mut request = http::Request::new(message);
     *request.method_mut() = http::Method::POST;
     *request.uri_mut() = http::Uri::from_static(HANDOFF_PATH);
     let peer = http::HeaderValue::from_static("peer");
--- a/src/entry/join_client.rs
+++ b/src/entry/join_client.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
-use http_body_util::Full;
 use rand::Rng as _;
 use rand::seq::IteratorRandom as _;
 use serde_json::json;
@@ -26,6 +25,7 @@
 use super::wire::WireProtocol;
 use crate::event::EventCode;
 use crate::http_client::{self, ClientSender};
+use crate::request_body::RequestBody;
 
 /// The longest pause between two rounds of join requests, in milliseconds; the shortest is half of
 /// it. A process that starts at the same time listens within about ten milliseconds.
@@ -275,7 +275,7 @@
     let bytes = peer_message::to_bytes(&join_request).ok()?;
     let request = http::Request::post(join::JOIN_PATH)
         .header(http::header::HOST, "peer")
-        .body(Full::new(Bytes::from(bytes)))
+        .body(RequestBody::from(Bytes::from(bytes)))
         .ok()?;
     let exchange = http_client::read_answer(&mut sender, request, MAX_ANSWER_BYTES);
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, exchange).await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -23,6 +23,8 @@
 mod answer_outcome;
 pub mod attempt_record;
 mod attempts;
+pub mod body_buffer;
+mod body_reader;
 pub mod budget;
 pub mod catch_up;
 pub mod choice;
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -1,13 +1,12 @@
 //! Reads a caller's request: finds its route and customer, reads its body and sets its deadline.
 
-use std::{cell, error, io, iter, rc, time};
+use std::{cell, rc, time};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use xxhash_rust::xxh3;
 
 use super::attempt_record::ExpectedAnswer;
+use super::body_reader;
 use super::configuration::{RouteRule, RouteTable};
 use super::customer::{self, CustomerRule};
 use super::departure::RequestProgress;
@@ -22,9 +21,6 @@
 use crate::connection_headers;
 use crate::timer::Moment;
 
-/// Time in which a caller must send its body, whatever the request's deadline.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// When a request came.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RequestTimes {
@@ -93,7 +89,7 @@
         let service = sample_service(host, &route);
         let version = routes.configuration().version;
         let limit = routes.configuration().limits.body_bytes;
-        let body = read_body(body, usize::try_from(limit).unwrap_or(usize::MAX)).await?;
+        let body = body_reader::read(body, limit).await?;
         let deadline = arrived.plus(request_timeout(&caller, &route).as_millis() as u64);
         if host.may_stop_before(deadline) {
             return Err(RequestFailure::LEAVING);
@@ -196,6 +192,7 @@
         let forward = &self.forward;
         let customer = self.customer.as_ref();
         let site = forward.headers.get(http::header::HOST);
+        let body: Vec<&[u8]> = forward.body.parts().map(|part| &part[..]).collect();
         let content = RequestContent {
             customer: customer.map_or("", |customer| &customer.name),
             method: forward.method.as_str(),
@@ -204,7 +201,7 @@
                 .uri
                 .path_and_query()
                 .map_or("", |path| path.as_str()),
-            body: &forward.body,
+            body: &body,
         };
         RequestFingerprint::of(&content)
     }
@@ -310,39 +307,3 @@
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| uri.clone(), http::Uri::from)
 }
-
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, RequestFailure> {
-    if http_body::Body::is_end_stream(&body) {
-        return Ok(Bytes::new());
-    }
-    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(fault)) if fault.is::<LengthLimitError>() => Err(RequestFailure::rejected(
-            http::StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is too large",
-        )),
-        Ok(Err(fault)) if has_connection_ended(&*fault) => Err(RequestFailure::CALLER_LEFT),
-        Ok(Err(_malformed)) => Err(RequestFailure::rejected(
-            http::StatusCode::BAD_REQUEST,
-            "the body is malformed",
-        )),
-        Err(_elapsed) => Err(RequestFailure::rejected(
-            http::StatusCode::REQUEST_TIMEOUT,
-            "the body did not arrive in time",
-        )),
-    }
-}
-
-/// Whether a body could not be read because its connection was closed or reset.
-fn has_connection_ended(fault: &(dyn error::Error + 'static)) -> bool {
-    let causes = iter::successors(Some(fault), |fault| fault.source());
-    let mut kinds = causes.filter_map(|cause| cause.downcast_ref::<io::Error>());
-    kinds.any(|fault| {
-        matches!(
-            fault.kind(),
-            io::ErrorKind::UnexpectedEof
-                | io::ErrorKind::ConnectionReset
-                | io::ErrorKind::ConnectionAborted
-        )
-    })
-}
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -98,6 +98,17 @@
         RequestCompletion::CallerLeft,
         "the caller left within the request's body",
     );
+    /// The body exceeds the configured size.
+    pub(super) const BODY_TOO_LARGE: Self =
+        Self::rejected(http::StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    /// The body breaks the protocol.
+    pub(super) const BODY_MALFORMED: Self =
+        Self::rejected(http::StatusCode::BAD_REQUEST, "the body is malformed");
+    /// The body did not arrive in time.
+    pub(super) const BODY_LATE: Self = Self::rejected(
+        http::StatusCode::REQUEST_TIMEOUT,
+        "the body did not arrive in time",
+    );
     /// No route matches the request.
     pub(super) const NO_ROUTE: Self = Self::rejected(http::StatusCode::NOT_FOUND, "no route");
     /// The request carries no key although its route requires one.
--- a/src/entry/send_gate.rs
+++ b/src/entry/send_gate.rs
@@ -4,8 +4,6 @@
 //! may have changed by the time of the write. All requests to servers are written through a
 //! [`SendPermit`], which checks the state again.
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn;
 use serde_json::json;
@@ -17,9 +15,10 @@
 use super::server_notice::ServerAvailability;
 use super::wire::WireProtocol;
 use crate::event::EventCode;
+use crate::request_body::RequestBody;
 
 /// A request in the form in which it is written to a server.
-pub(super) type ServerMessage = http::Request<Full<Bytes>>;
+pub(super) type ServerMessage = http::Request<RequestBody>;
 
 /// A permit to write one request to one server, granted just before the write.
 #[derive(Debug)]
--- a/src/entry/server_connection.rs
+++ b/src/entry/server_connection.rs
@@ -5,14 +5,13 @@
 //! never carries an id twice: a copy of a rejection would state that the second request did not run,
 //! while the server runs it.
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::client::conn::http1;
 
 use super::hash;
+use crate::request_body::RequestBody;
 
 /// The sending half of a connection.
-pub type ServerSender = http1::SendRequest<Full<Bytes>>;
+pub type ServerSender = http1::SendRequest<RequestBody>;
 
 /// A connection to a backend server.
 #[derive(Debug)]
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -3,11 +3,12 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
+use crate::request_body::RequestBody;
 use crate::tcp_close;
 use crate::tcp_keepalive::{self, ProbeStart};
 
@@ -15,7 +16,7 @@
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// The sending half of a client connection.
-pub type ClientSender = http1::SendRequest<Full<Bytes>>;
+pub type ClientSender = http1::SendRequest<RequestBody>;
 
 /// Why an exchange failed, by whether the request may have reached the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -85,7 +86,7 @@
 /// [`ExchangeFault`], which tells whether the request may have reached the server.
 pub async fn exchange(
     address: net::SocketAddr,
-    request: http::Request<Full<Bytes>>,
+    request: http::Request<RequestBody>,
     timeout: time::Duration,
     max_bytes: usize,
 ) -> Result<SmallAnswer, ExchangeFault> {
@@ -102,7 +103,7 @@
 /// [`ExchangeFault`], which tells whether the request may have reached the server.
 pub async fn read_head(
     sender: &mut ClientSender,
-    request: http::Request<Full<Bytes>>,
+    request: http::Request<RequestBody>,
 ) -> Result<http::Response<Incoming>, ExchangeFault> {
     let answer = sender.try_send_request(request).await;
     answer.map_err(|mut fault| {
@@ -120,7 +121,7 @@
 /// [`ExchangeFault`], which tells whether the request may have reached the server.
 pub async fn read_answer(
     sender: &mut ClientSender,
-    request: http::Request<Full<Bytes>>,
+    request: http::Request<RequestBody>,
     max_bytes: usize,
 ) -> Result<SmallAnswer, ExchangeFault> {
     let (head, body) = read_head(sender, request).await?.into_parts();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod ramp;
 pub mod reachability;
 pub mod report;
+pub mod request_body;
 pub mod request_boundary;
 pub mod request_trace;
 pub mod result_code;
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -10,13 +10,13 @@
 use std::{net, time};
 
 use bytes::Bytes;
-use http_body_util::Full;
 
 use crate::http_client::{self, ClientSender, ExchangeFault, SmallAnswer};
 use crate::plan;
 use crate::platform_call::{
     ObjectName, PlatformCall, PlatformReply, ReadResult, WatchReply, WriteResult,
 };
+use crate::request_body::RequestBody;
 use crate::roster;
 
 /// Timeout of a call that does not wait for changes.
@@ -130,7 +130,7 @@
     /// broke is not retried here, since only the roles can decide what a lost write means.
     async fn send(
         &self,
-        request: http::Request<Full<Bytes>>,
+        request: http::Request<RequestBody>,
         timeout: time::Duration,
     ) -> Result<SmallAnswer, ExchangeFault> {
         let deadline = tokio::time::Instant::now() + timeout;
@@ -147,7 +147,7 @@
     async fn send_on(
         &self,
         mut sender: ClientSender,
-        request: http::Request<Full<Bytes>>,
+        request: http::Request<RequestBody>,
         deadline: tokio::time::Instant,
     ) -> Result<SmallAnswer, ExchangeFault> {
         let answer = http_client::read_answer(&mut sender, request, MAX_ANSWER_BYTES);
@@ -190,7 +190,7 @@
     path: &str,
     body: Bytes,
     precondition: WritePrecondition,
-) -> Option<http::Request<Full<Bytes>>> {
+) -> Option<http::Request<RequestBody>> {
     let mut builder = http::Request::builder()
         .method(method)
         .uri(path)
@@ -202,7 +202,7 @@
         WritePrecondition::Absent => builder = builder.header(http::header::IF_NONE_MATCH, "*"),
         WritePrecondition::Unconditional => {}
     }
-    builder.body(Full::new(body)).ok()
+    builder.body(RequestBody::from(body)).ok()
 }
 
 fn version_of(answer: &SmallAnswer) -> Option<u64> {
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -3,12 +3,10 @@
 
 use std::{collections, net, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
-
 use super::backend;
 use crate::http_client::{self, ClientSender, SmallAnswer};
 use crate::lookup::LookupAnswer;
+use crate::request_body::RequestBody;
 use crate::result_code::{RequestOutcome, ResultCode};
 
 const LOOKUP_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -188,7 +186,7 @@
     if let Some(from) = from {
         builder = builder.header("x-ledgespool-caller", from.to_string());
     }
-    let request = builder.body(Full::default()).ok()?;
+    let request = builder.body(RequestBody::default()).ok()?;
     let answer = http_client::exchange(entry, request, LOOKUP_TIMEOUT, 1 << 16)
         .await
         .ok()?;
@@ -216,7 +214,7 @@
     Some((answer, sender))
 }
 
-fn http_request(request: &CallerRequest) -> Option<http::Request<Full<Bytes>>> {
+fn http_request(request: &CallerRequest) -> Option<http::Request<RequestBody>> {
     let uri = format!(
         "/call/{}/work?ms={}&bytes={}{}",
         request.service, request.work_ms, request.answer_bytes, request.extra_query
@@ -242,7 +240,7 @@
     if let Some(from) = request.from {
         builder = builder.header("x-ledgespool-caller", from.to_string());
     }
-    builder.body(Full::default()).ok()
+    builder.body(RequestBody::default()).ok()
 }
 
 fn read_result(
--- a/src/standin/repeat.rs
+++ b/src/standin/repeat.rs
@@ -3,11 +3,10 @@
 
 use std::{net, thread, time};
 
-use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http_body_util::Full;
 
 use crate::http_client;
+use crate::request_body::RequestBody;
 
 const MAX_MICROS: u64 = 60_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
@@ -143,10 +142,10 @@
     count
 }
 
-fn template(plan: &RepeatPlan) -> Option<http::Request<Full<Bytes>>> {
+fn template(plan: &RepeatPlan) -> Option<http::Request<RequestBody>> {
     let mut builder = http::Request::get(&plan.path).header(http::header::HOST, "entry");
     for (name, value) in &plan.headers {
         builder = builder.header(name, value);
     }
-    builder.body(Full::default()).ok()
+    builder.body(RequestBody::default()).ok()
 }
--- a/src/worker/attempt.rs
+++ b/src/worker/attempt.rs
@@ -3,9 +3,7 @@
 
 use std::time;
 
-use bytes::Bytes;
 use gotham::helpers::http::Body;
-use http_body_util::Full;
 use hyper::body::Incoming;
 
 use super::admitted::AdmittedRequest;
@@ -19,6 +17,7 @@
 use crate::control_message::ControlInput;
 use crate::event::EventCode;
 use crate::http_client::{self, ExchangeFault};
+use crate::request_body::RequestBody;
 use crate::result_code::ResultCode;
 use crate::steering::{AttemptResult, RequestAdmission, UNAVAILABLE_RETRY_AFTER_MS};
 use crate::tcp_keepalive::ProbeStart;
@@ -140,8 +139,8 @@
 fn outgoing_request(
     admitted: &AdmittedRequest,
     request: &CallerRequest,
-) -> http::Request<Full<Bytes>> {
-    let mut outgoing = http::Request::new(Full::new(request.body.clone()));
+) -> http::Request<RequestBody> {
+    let mut outgoing = http::Request::new(RequestBody::from(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.head.target.parse().unwrap_or_default();
     *outgoing.headers_mut() = connection_headers::to_server(&request.headers);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -14,9 +14,9 @@
 use std::{fs, net};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use ledgespool::control_message::HostStatus;
 use ledgespool::http_client::{self, SmallAnswer};
+use ledgespool::request_body::RequestBody;
 use ledgespool::roster::{ListedHost, ListedRole, ListedState};
 use ledgespool::rpc::{NoParams, method};
 use ledgespool::rpc_client::ControlClient;
@@ -500,7 +500,7 @@
     let body = Bytes::from(serde_json::to_vec(value).expect("json"));
     let request = http::Request::put(path)
         .header("host", "admin")
-        .body(Full::new(body))
+        .body(RequestBody::from(body))
         .expect("a request");
     let answer = http_client::exchange(address, request, Duration::from_secs(10), 1 << 20)
         .await
@@ -511,7 +511,7 @@
 pub async fn get(address: net::SocketAddr, path: &str) -> SmallAnswer {
     let request = http::Request::get(path)
         .header("host", "admin")
-        .body(Full::default())
+        .body(RequestBody::default())
         .expect("a request");
     http_client::exchange(address, request, Duration::from_secs(10), 64 << 20)
         .await
--- a/tests/entry_fingerprint.rs
+++ b/tests/entry_fingerprint.rs
@@ -7,7 +7,7 @@
     method: "POST",
     site: b"desk.example",
     path: "/write/one?a=b",
-    body: b"line",
+    body: &[b"line"],
 };
 
 #[test]
@@ -19,6 +19,11 @@
         ..CONTENT
     };
     assert_eq!(original, RequestFingerprint::of(&upper));
+    let in_parts = RequestContent {
+        body: &[b"li", b"", b"ne"],
+        ..CONTENT
+    };
+    assert_eq!(original, RequestFingerprint::of(&in_parts));
     let others = [
         RequestContent {
             customer: "",
@@ -37,13 +42,13 @@
             ..CONTENT
         },
         RequestContent {
-            body: b"lines",
+            body: &[b"lines"],
             ..CONTENT
         },
         // The same bytes, split differently between path and body.
         RequestContent {
             path: "/write/one?a=bl",
-            body: b"ine",
+            body: &[b"ine"],
             ..CONTENT
         },
     ];
--- a/tests/entry_peers.rs
+++ b/tests/entry_peers.rs
@@ -540,7 +540,7 @@
             *first = 1;
         }
         let _read = peer_message::from_bytes::<PeerMessage>(&bytes);
-        let _read = HandoffRequest::from_bytes(&bytes.into());
+        let _read = HandoffRequest::from_message(&bytes::Bytes::from(bytes).into());
     }
 }
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use common::{PEER_TOKEN, System, SystemPlan, TOKEN, assert_whole, read_request, release_request};
-use http_body_util::Full;
 use ledgespool::http_client;
+use ledgespool::request_body::RequestBody;
 use ledgespool::result_code::{RequestOutcome, ResultCode};
 use ledgespool::rpc::{NoParams, method};
 use ledgespool::rpc_client::ControlClient;
@@ -27,7 +27,7 @@
         builder = builder.header(*name, *value);
     }
     let request = builder
-        .body(Full::new(Bytes::from(body)))
+        .body(RequestBody::from(Bytes::from(body)))
         .expect("a request");
     let answer = http_client::exchange(to, request, Duration::from_secs(20), 1 << 20)
         .await
