Bound the memory that request bodies take on a host

Crowds of callers with bodies of allowed size made a host exceed the memory of its machine: 40 bodies of 4 MiB took 172 to 188 MB of 64, whether they were whole, stopped short of their end, came in chunks, were announced far over the limit or went there without a stated length.

Cause: each body had its own limit, and nothing added them up. The settings state the machine's memory, and nothing read it. A stated length over the limit was noticed only after as many bytes had been read.

All bodies are counted in one account (ByteAccount), by the memory of their blocks, from their arrival until the last reference to them ends; bodies of requests that other hosts hand over as well. When it is reached, the body that has been arriving for the longest time, at least a second, yields its memory at once; if there is none, the new one is refused. Both get 503 with Retry-After: a request whose body is incomplete was sent to no server.

Setting caller_memory_mb, five metrics, LS2030, EV5036 at most once a second.

--- /dev/null
+++ b/src/entry/caller_metrics.rs
@@ -0,0 +1,93 @@
+//! Counters of callers that met a limit of the host.
+
+use crate::metrics_writer::MetricsWriter;
+use crate::timer::Moment;
+
+/// Shortest time between two reports, in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 1_000;
+
+/// How often callers met a limit since the start.
+///
+/// ```
+/// use ledgespool::entry::caller_metrics::CallerCounters;
+/// use ledgespool::timer::Moment;
+/// let mut counters = CallerCounters::default();
+/// assert_eq!(counters.due_report(Moment(5_000)), None);
+/// counters.bodies_refused += 2;
+/// let report = counters.due_report(Moment(5_000)).expect("something to report");
+/// assert_eq!(report.bodies_refused, 2);
+/// counters.bodies_refused += 1;
+/// assert_eq!(counters.due_report(Moment(5_900)), None, "too soon");
+/// assert!(counters.due_report(Moment(6_000)).is_some());
+/// ```
+#[derive(Debug, Clone, Copy, Default)]
+pub struct CallerCounters {
+    /// Requests refused because there was no memory for their bodies.
+    pub bodies_refused: u64,
+    /// Bodies that yielded their memory to others while they arrived.
+    pub bodies_yielded: u64,
+    reported: ReportedCounts,
+    reported_at: Option<Moment>,
+}
+
+/// How often callers met each limit since the last report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize)]
+pub struct ReportedCounts {
+    /// See [`CallerCounters::bodies_refused`].
+    pub bodies_refused: u64,
+    /// See [`CallerCounters::bodies_yielded`].
+    pub bodies_yielded: u64,
+}
+
+impl CallerCounters {
+    /// The report that is due, if callers met a limit since the last one.
+    pub fn due_report(&mut self, now: Moment) -> Option<ReportedCounts> {
+        let is_early = |at: Moment| now.since(at) < REPORT_INTERVAL_MS;
+        let current = self.current();
+        if current == self.reported || self.reported_at.is_some_and(is_early) {
+            return None;
+        }
+        let last = std::mem::replace(&mut self.reported, current);
+        self.reported_at = Some(now);
+        Some(current.since(last))
+    }
+
+    const fn current(&self) -> ReportedCounts {
+        ReportedCounts {
+            bodies_refused: self.bodies_refused,
+            bodies_yielded: self.bodies_yielded,
+        }
+    }
+
+    /// Writes the counters and what is held now.
+    pub fn write_to(&self, page: &mut MetricsWriter, held: &HeldForCallers) {
+        page.value("ledgespool_bodies_refused_total", self.bodies_refused);
+        page.value("ledgespool_bodies_yielded_total", self.bodies_yielded);
+        page.value("ledgespool_caller_memory_bytes", held.memory_bytes);
+        page.value(
+            "ledgespool_caller_memory_limit_bytes",
+            held.memory_limit_bytes,
+        );
+        page.value("ledgespool_arriving_bodies", held.arriving_bodies as u64);
+    }
+}
+
+impl ReportedCounts {
+    const fn since(self, earlier: Self) -> Self {
+        Self {
+            bodies_refused: self.bodies_refused - earlier.bodies_refused,
+            bodies_yielded: self.bodies_yielded - earlier.bodies_yielded,
+        }
+    }
+}
+
+/// What a host holds for callers now.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HeldForCallers {
+    /// Memory, in bytes.
+    pub memory_bytes: u64,
+    /// The limit of that memory.
+    pub memory_limit_bytes: u64,
+    /// Bodies that are arriving.
+    pub arriving_bodies: usize,
+}
--- a/src/entry/handoff/message.rs
+++ b/src/entry/handoff/message.rs
@@ -140,6 +140,7 @@
                 | RequestCompletion::RefusedUnconfigured
                 | RequestCompletion::RefusedUnlisted
                 | RequestCompletion::RefusedLeaving
+                | RequestCompletion::RefusedMemory
                 | RequestCompletion::Rejected
         )
     }
--- a/src/entry/handoff/receiver.rs
+++ b/src/entry/handoff/receiver.rs
@@ -3,12 +3,12 @@
 use std::{rc, time};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 
 use super::message::{ANSWER, FAILURE, HANDOFF_HEADER, HandoffFailure, HandoffRequest};
 use super::role::HandoffRole;
 use crate::entry::answer::AnswerBody;
+use crate::entry::body_reader;
 use crate::entry::departure::CallerDeparture;
 use crate::entry::host::EntryHost;
 use crate::entry::metrics_page::RequestCompletion;
@@ -16,10 +16,9 @@
 use crate::entry::request::{self, CallerResponse};
 use crate::entry::request_failure::RequestFailure;
 use crate::entry::wire::WireProtocol;
-use crate::request_body::RequestBody;
 
 /// Added to the largest body of a caller's request, in bytes: the encoded head with all headers.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
+const MAX_HEAD_BYTES: u64 = 256 * 1024;
 /// Time in which the whole message must arrive.
 const MESSAGE_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
@@ -53,10 +52,9 @@
     body: Incoming,
 ) -> Option<HandoffRequest> {
     let limit = host.routes()?.configuration().limits.body_bytes;
-    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
-    let body = Limited::new(body, limit.saturating_add(MAX_HEAD_BYTES)).collect();
-    let whole = tokio::time::timeout(MESSAGE_TIMEOUT, body).await;
-    let message = RequestBody::from(whole.ok()?.ok()?.to_bytes());
+    let message = body_reader::read(host, body, limit.saturating_add(MAX_HEAD_BYTES));
+    let message = tokio::time::timeout(MESSAGE_TIMEOUT, message).await;
+    let message = message.ok()?.ok()?;
     match HandoffRequest::from_message(&message) {
         Ok(request) => {
             let run = host.peers.borrow().run_of(&request.head.host);
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -12,7 +12,10 @@
 use serde_json::json;
 use xxhash_rust::xxh3;
 
+use super::arriving_bodies::ArrivingBodies;
 use super::budget::RetryWindow;
+use super::caller_limits::CallerLimits;
+use super::caller_metrics::HeldForCallers;
 use super::catch_up::OpenFetches;
 use super::configuration::{RouteTable, ServiceConfiguration};
 use super::customer::CustomerTable;
@@ -44,6 +47,7 @@
 use super::view_age::ViewAges;
 use super::watch_role::WatchRole;
 use super::wire::WireProtocol;
+use crate::byte_account::ByteAccount;
 use crate::event::EventCode;
 use crate::metrics_writer::MetricsWriter;
 use crate::placement::hall_places::HallPlaces;
@@ -108,6 +112,9 @@
     pub(super) urgency: UrgencyRole,
     /// Streamed answers in flight.
     pub(super) open_answers: cell::Cell<u32>,
+    /// Memory that is held for callers.
+    pub(super) caller_memory: ByteAccount,
+    pub(super) arriving_bodies: ArrivingBodies,
     /// The store's epoch, as observed by this host or reported by another.
     pub(super) store_epoch: cell::Cell<u64>,
 }
@@ -162,6 +169,8 @@
             handoffs: HandoffRole::default(),
             urgency: UrgencyRole::default(),
             open_answers: cell::Cell::default(),
+            caller_memory: ByteAccount::default(),
+            arriving_bodies: ArrivingBodies::default(),
             store_epoch: cell::Cell::new(0),
         }
     }
@@ -183,6 +192,20 @@
         rc::Rc::clone(&self.settings.borrow())
     }
 
+    /// What this host holds for callers at most.
+    pub(super) fn caller_limits(&self) -> CallerLimits {
+        CallerLimits::of(&self.settings.borrow())
+    }
+
+    /// The memory for all that is held for callers, in bytes.
+    fn caller_memory_limit(&self) -> u64 {
+        let routes = self.routes.borrow();
+        let max_body_bytes = routes
+            .as_ref()
+            .map_or(0, |routes| routes.configuration().limits.body_bytes);
+        self.caller_limits().memory(max_body_bytes)
+    }
+
     /// The active routes.
     #[must_use]
     pub fn routes(&self) -> Option<rc::Rc<RouteTable>> {
@@ -309,6 +332,11 @@
             open_requests: self.open_requests(),
             open_answers: self.open_answers.get(),
             waiting: self.waiting_count(),
+            callers: HeldForCallers {
+                memory_bytes: self.caller_memory.held(),
+                memory_limit_bytes: self.caller_memory_limit(),
+                arriving_bodies: self.arriving_bodies.count(),
+            },
             log_suppressed: loss.left_out,
             log_dropped: loss.dropped,
         };
@@ -348,10 +376,24 @@
         self.on_reachability_tick();
         self.on_load_exchange_tick();
         self.handoffs.on_tick(now);
+        self.log_caller_limits(now);
         join::broadcast_discovered(self);
         self.log.flush();
     }
 
+    /// Logs that callers met a limit of this host, at most once a second.
+    fn log_caller_limits(&self, now: Moment) {
+        let due = self.metrics.borrow_mut().callers.due_report(now);
+        if let Some(report) = due {
+            let fields = json!({
+                "since_last": report,
+                "memory_bytes": self.caller_memory.held(),
+                "memory_limit_bytes": self.caller_memory_limit(),
+            });
+            self.log_event(EventCode::CallerLimitReached, fields);
+        }
+    }
+
     fn log_stall(&self, now: Moment) {
         let stall_ms = now.since(self.last_tick.replace(now));
         if stall_ms >= MIN_STALL_MS {
--- a/src/entry/metrics_page.rs
+++ b/src/entry/metrics_page.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use super::caller_metrics::{CallerCounters, HeldForCallers};
 use super::departure::DepartureCounters;
 use super::load_metrics::LoadMetrics;
 use super::request_metrics::RequestMetrics;
@@ -42,6 +43,8 @@
     TimedOut,
     /// The caller disconnected first.
     CallerLeft,
+    /// Refused: this host has no memory for its body.
+    RefusedMemory,
 }
 
 impl RequestCompletion {
@@ -63,6 +66,7 @@
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
             Self::CallerLeft => "caller_left",
+            Self::RefusedMemory => "refused_memory",
         }
     }
 
@@ -126,6 +130,8 @@
     pub departures: DepartureCounters,
     /// The exchange of servers' loads among hosts.
     pub load: LoadMetrics,
+    /// Callers that met a limit of this host.
+    pub callers: CallerCounters,
 }
 
 /// Gauges that are read when the page is built.
@@ -172,6 +178,8 @@
     pub open_answers: u32,
     /// Requests that wait at this host for a slot of a server.
     pub waiting: usize,
+    /// What this host holds for callers.
+    pub callers: HeldForCallers,
     /// Log lines that were suppressed.
     pub log_suppressed: u64,
     /// Log lines that were dropped.
@@ -213,6 +221,7 @@
         self.urgency.write_to(page, current.waiting);
         self.departures.write_to(page);
         self.load.write_to(page);
+        self.callers.write_to(page, &current.callers);
     }
 
     fn write_calls(&self, page: &mut MetricsWriter) {
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -89,7 +89,7 @@
         let service = sample_service(host, &route);
         let version = routes.configuration().version;
         let limit = routes.configuration().limits.body_bytes;
-        let body = body_reader::read(body, limit).await?;
+        let body = body_reader::read(host, body, limit).await?;
         let deadline = arrived.plus(request_timeout(&caller, &route).as_millis() as u64);
         if host.may_stop_before(deadline) {
             return Err(RequestFailure::LEAVING);
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -175,6 +175,9 @@
     /// Logs and counts the failure.
     fn record_failure(&self, failure: &RequestFailure) {
         let host = &self.host;
+        if failure.completion == RequestCompletion::RefusedMemory {
+            host.metrics.borrow_mut().callers.bodies_refused += 1;
+        }
         let route = self.route_label();
         let millis = host.now().since(self.arrived);
         host.metrics
--- a/src/entry/request_failure.rs
+++ b/src/entry/request_failure.rs
@@ -17,6 +17,10 @@
 /// take the request at once.
 const LEAVING_RETRY_MS: u64 = 10;
 
+/// Retry time for a request without memory for its body, in milliseconds: bodies that arrive for this
+/// time yield to others.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// Why a request ends without a server's answer.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RequestFailure {
@@ -52,6 +56,7 @@
             (RequestCompletion::RefusedLeaving, _) => ResultCode::HostLeaving,
             (RequestCompletion::RefusedLimit, _) => ResultCode::LimitReached,
             (RequestCompletion::RefusedHomes, _) => ResultCode::HomesApart,
+            (RequestCompletion::RefusedMemory, _) => ResultCode::MemoryExhausted,
             (RequestCompletion::RefusedQuarantined, _) => ResultCode::RequestQuarantined,
             (RequestCompletion::Rejected, http::StatusCode::UNAUTHORIZED) => ResultCode::KeyRefused,
             (RequestCompletion::Rejected, http::StatusCode::NOT_FOUND) => {
@@ -101,6 +106,12 @@
     /// The body exceeds the configured size.
     pub(super) const BODY_TOO_LARGE: Self =
         Self::rejected(http::StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    /// There is no memory for the body.
+    pub(super) const NO_MEMORY: Self = Self::refused(
+        RequestCompletion::RefusedMemory,
+        NO_MEMORY_RETRY_MS,
+        "no memory is left for its body",
+    );
     /// The body breaks the protocol.
     pub(super) const BODY_MALFORMED: Self =
         Self::rejected(http::StatusCode::BAD_REQUEST, "the body is malformed");
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -42,6 +42,8 @@
     pub server_source_address: Option<net::IpAddr>,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
+    /// Part of [`Self::memory_bytes`] that is held for callers at most; `None` takes a share.
+    pub caller_memory_bytes: Option<u64>,
     /// File descriptors that the process may use.
     pub descriptors: u32,
     /// Bandwidth of the host's link, in Mbit/s.
@@ -192,6 +194,7 @@
 
 fn read_settings(reader: &mut object_reader::ObjectReader<'_, '_>) -> EntrySettings {
     let heartbeat_port = reader.integer("heartbeat_port", 1..=u32::from(u16::MAX));
+    let memory_mb = reader.integer("memory_mb", 1..=u32::MAX);
     EntrySettings {
         name: reader.string("name"),
         hall: reader.string("hall"),
@@ -207,7 +210,10 @@
         first_start: reader.boolean("first_start"),
         store_address: reader.address("store_address"),
         server_source_address: reader.optional_parsed("server_source_address", "an IP address"),
-        memory_bytes: u64::from(reader.integer("memory_mb", 1..=u32::MAX)) << 20,
+        memory_bytes: u64::from(memory_mb) << 20,
+        caller_memory_bytes: reader
+            .optional_integer("caller_memory_mb", 1..=memory_mb)
+            .map(|megabytes| u64::from(megabytes) << 20),
         descriptors: reader.integer("descriptors", 1..=u32::MAX),
         processor_share: reader
             .optional_number("processor_share", 0.0..=1_024.0)
--- a/src/event.rs
+++ b/src/event.rs
@@ -111,6 +111,7 @@
     RetryAllowed = 5033, Info, "A request is sent to another server within the retry budget of its service.";
     EntryDoubted = 5034, Warn, "An entry of a backend server holds an older statement than the last known one; it is not believed for now.";
     AnswerOverdue = 5035, Warn, "An answer was still arriving at the deadline of its request; it was broken off.";
+    CallerLimitReached = 5036, Warn, "Callers hold all that this host has for them; some were refused or closed.";
 
     PlatformLost = 6001, Warn, "The platform does not answer; what is in force stays in force.";
     PlatformFound = 6002, Info, "The platform answers again.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod auth;
 pub mod block_map;
 pub mod budget;
+pub mod byte_account;
 pub mod catalogue;
 pub mod claim;
 pub mod claim_role;
--- a/src/losses/decision.rs
+++ b/src/losses/decision.rs
@@ -28,6 +28,8 @@
     RefusedUnreachable,
     /// Refused: servers crashed while processing it.
     RefusedQuarantined,
+    /// Refused: the host had no memory for its body.
+    RefusedMemory,
     /// Refused: the host stops.
     RefusedLeaving,
     /// Refused after it waited at the host.
@@ -88,6 +90,7 @@
             ("refused_no_server", _) => Self::RefusedNoServer,
             ("refused_unreachable", _) => Self::RefusedUnreachable,
             ("refused_quarantined", _) => Self::RefusedQuarantined,
+            ("refused_memory", _) => Self::RefusedMemory,
             ("refused_leaving", _) => Self::RefusedLeaving,
             ("refused_unconfigured" | "refused_unlisted", _) => Self::RefusedNotReady,
             ("refused_homes", _) => Self::RefusedHomes,
@@ -134,6 +137,7 @@
             Self::RefusedNoServer => "refused: no server may serve it",
             Self::RefusedUnreachable => "refused: no server reached",
             Self::RefusedQuarantined => "refused: quarantined",
+            Self::RefusedMemory => "refused: no memory for its body",
             Self::RefusedLeaving => "refused: host leaving",
             Self::RefusedAfterWait => "refused: after a wait at the host",
             Self::RefusedNotReady => "refused: host not ready",
--- a/src/request_body.rs
+++ b/src/request_body.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use hyper::body::{Frame, SizeHint};
 
+use crate::byte_account::HeldBytes;
+
 /// A complete body. Clones share its bytes, and each clone is sent from the beginning.
 ///
 /// ```
@@ -23,6 +25,8 @@
     rest: sync::Arc<[Bytes]>,
     /// Number of parts that were sent.
     sent: usize,
+    /// Counts the bytes until the last clone is dropped.
+    held: Option<sync::Arc<HeldBytes>>,
 }
 
 impl RequestBody {
@@ -34,6 +38,16 @@
             first: parts.next().unwrap_or_default(),
             rest: parts.collect(),
             sent: 0,
+            held: None,
+        }
+    }
+
+    /// The same body, whose bytes are counted until its last clone is dropped.
+    #[must_use]
+    pub fn counted(self, held: HeldBytes) -> Self {
+        Self {
+            held: Some(sync::Arc::new(held)),
+            ..self
         }
     }
 
@@ -58,8 +72,14 @@
     /// The same body behind another part.
     #[must_use]
     pub fn after(&self, first: Bytes) -> Self {
-        let parts = std::iter::once(first).chain(self.parts().cloned());
-        Self::from_parts(parts.collect())
+        Self {
+            held: self.held.clone(),
+            ..Self::from_parts(
+                std::iter::once(first)
+                    .chain(self.parts().cloned())
+                    .collect(),
+            )
+        }
     }
 
     /// Splits off the first `length` bytes, which are copied; `None` if there are fewer.
@@ -83,7 +103,11 @@
                 rest.push(part.slice(taken..));
             }
         }
-        (start.len() == length).then(|| (start, Self::from_parts(rest)))
+        let rest = Self {
+            held: self.held.clone(),
+            ..Self::from_parts(rest)
+        };
+        (start.len() == length).then_some((start, rest))
     }
 }
 
--- a/src/result_code.rs
+++ b/src/result_code.rs
@@ -127,6 +127,7 @@
     LimitReached = 2027, 429, NOT_RUN, "The customer's limit over all entry hosts leaves no room for the request.", "Ask again after the come-back time, or ask the operator for a higher limit.";
     HomesApart = 2028, 503, NOT_RUN, "No region may serve both this route and this customer.", "Ask the operator to mend the homes of one of them.";
     RequestQuarantined = 2029, 503, NOT_RUN, "Several backend servers ended under this request; it is sent to no other.", "Do not send it again as it is; ask the operator, who finds it in the log by its fingerprint.";
+    MemoryExhausted = 2030, 503, NOT_RUN, "This entry host has no memory left for the request's body.", "Ask again after the come-back time.";
 
     TokenRejected = 3001, 401, None, "The operator token is missing or wrong.", "Pass the token with --token-file or LEDGESPOOL_TOKEN.";
     GenerationConflict = 3002, 409, None, "Another change was accepted first.", "Read the difference with `ledgespool plan` and apply again.";
--- a/tests/losses.rs
+++ b/tests/losses.rs
@@ -225,7 +225,7 @@
 }
 
 /// One request of each decision, with the fields that tell them apart.
-const FAILED: [(&str, &str); 16] = [
+const FAILED: [(&str, &str); 17] = [
     (r#""end":"refused_limit""#, "refused: customer's limit"),
     (
         r#""end":"refused_full","reason":"every server would answer too late""#,
@@ -248,6 +248,10 @@
         "refused: no server reached",
     ),
     (r#""end":"refused_quarantined""#, "refused: quarantined"),
+    (
+        r#""end":"refused_memory""#,
+        "refused: no memory for its body",
+    ),
     (r#""end":"refused_leaving""#, "refused: host leaving"),
     (
         r#""end":"refused_full","waited_ms":300"#,
