Bound the connections that callers hold on a host

512 connections that sent a part of a request and stayed open took 541 to 579 descriptors of a host that may have 256, as many look-up connections 534. A host without descriptors reaches no server, no store and no other host; in a trial with a limit of the system its callers got no answer for 40 s.

Cause: no connection was counted, and the settings' number of descriptors was read by nothing.

Each listening socket has a table of its connections with a limit that follows from the machine's descriptors and memory. When it is reached, the connection that has been idle for the longest time is closed, or else the one whose request has been arriving for the longest time, at least a second; if there is neither, the new one is closed before anything is read, so that its caller may repeat. Look-ups and readiness checks have their own tables and cannot shut each other or requests out. Idle connections to servers are closed where they and those in use exceed half of the descriptors.

more_connections_than_descriptors_stay_open and more_look_ups_than_descriptors_stay_open failed before and pass; many_large_heads_stop_short_of_their_end as well, since its connections are fewer now.

--- a/src/entry/caller_limits.rs
+++ b/src/entry/caller_limits.rs
@@ -11,17 +11,42 @@
 /// Largest small body, in bytes.
 const SMALL_BODY_BYTES: u64 = 64 << 10;
 
+/// Descriptors that are kept for files and internal use. A host with few keeps the part below.
+const KEPT_DESCRIPTORS: u32 = 200;
+/// A host keeps at most its descriptors divided by this.
+const KEPT_DESCRIPTORS_DIVISOR: u32 = 8;
+/// Sixteenths of the other descriptors that callers' connections get. The connections to servers
+/// take as many, since each request of a caller needs one.
+const CALLER_SIXTEENTHS: u32 = 6;
+/// The same for idle and open connections to servers.
+const SERVER_SIXTEENTHS: u32 = 8;
+/// The same for look-up connections, which end after one request.
+const LOOKUP_SIXTEENTHS: u32 = 1;
+/// Connections of the platform's readiness checks: one for each check of a second, and some that
+/// have not ended yet.
+const READINESS_CONNECTIONS: usize = 8;
+/// Memory of a connection with its buffers and its request, without the body, in bytes.
+const CONNECTION_BYTES: u64 = 32 << 10;
+/// Connections get the memory of the machine divided by this.
+const CONNECTION_MEMORY_DIVISOR: u64 = 5;
+
 /// What a host holds for callers at most.
 ///
 /// ```
 /// use ledgespool::entry::caller_limits::CallerLimits;
-/// let limits = CallerLimits { memory_bytes: 260 << 20, set_caller_memory_bytes: None };
+/// let limits = CallerLimits {
+///     memory_bytes: 260 << 20,
+///     set_caller_memory_bytes: None,
+///     descriptors: 4_100,
+///     set_connections: None,
+/// };
 /// let small = limits.memory_for(100, 100_000);
 /// assert_eq!(small, (260 << 20) / 3);
 /// assert!(limits.memory_for(90_000, 100_000) < small);
 /// // One body of the largest size fits, on a small machine as well.
 /// let limits = CallerLimits { memory_bytes: 160 << 20, ..limits };
 /// assert!(limits.memory_for(64 << 20, 64 << 20) > 64 << 20);
+/// assert_eq!(limits.connections(), 1_024);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -29,6 +54,10 @@
     pub memory_bytes: u64,
     /// Memory for callers that the settings state, in bytes.
     pub set_caller_memory_bytes: Option<u64>,
+    /// File descriptors that the process may use.
+    pub descriptors: u32,
+    /// Callers' connections that the settings state.
+    pub set_connections: Option<u32>,
 }
 
 impl CallerLimits {
@@ -38,6 +67,8 @@
         Self {
             memory_bytes: settings.memory_bytes,
             set_caller_memory_bytes: settings.caller_memory_bytes,
+            descriptors: settings.descriptors,
+            set_connections: settings.caller_connections,
         }
     }
 
@@ -66,4 +97,38 @@
             memory - memory / SMALL_BODY_DIVISOR
         }
     }
+
+    /// The number of callers' connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        if let Some(connections) = self.set_connections {
+            return connections as usize;
+        }
+        let fitting = self.memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+        let fitting = usize::try_from(fitting).unwrap_or(usize::MAX);
+        self.sixteenths(CALLER_SIXTEENTHS).min(fitting).max(1)
+    }
+
+    /// The number of look-up connections.
+    #[must_use]
+    pub fn lookup_connections(&self) -> usize {
+        self.sixteenths(LOOKUP_SIXTEENTHS).max(1)
+    }
+
+    /// The number of connections of readiness checks.
+    #[must_use]
+    pub const fn readiness_connections(&self) -> usize {
+        READINESS_CONNECTIONS
+    }
+
+    /// The number of connections to servers, in use or idle.
+    #[must_use]
+    pub fn server_connections(&self) -> usize {
+        self.sixteenths(SERVER_SIXTEENTHS).max(1)
+    }
+
+    fn sixteenths(&self, count: u32) -> usize {
+        let kept = KEPT_DESCRIPTORS.min(self.descriptors / KEPT_DESCRIPTORS_DIVISOR);
+        ((self.descriptors - kept) / 16 * count) as usize
+    }
 }
--- a/src/entry/caller_metrics.rs
+++ b/src/entry/caller_metrics.rs
@@ -26,6 +26,12 @@
     pub bodies_refused: u64,
     /// Bodies that yielded their memory to others while they arrived.
     pub bodies_yielded: u64,
+    /// Connections closed to give their places to others.
+    pub connections_closed: u64,
+    /// Connections closed at once because there was no place for them.
+    pub connections_refused: u64,
+    /// Connections that could not be accepted, for example for lack of descriptors.
+    pub accepts_failed: u64,
     reported: ReportedCounts,
     reported_at: Option<Moment>,
 }
@@ -37,6 +43,12 @@
     pub bodies_refused: u64,
     /// See [`CallerCounters::bodies_yielded`].
     pub bodies_yielded: u64,
+    /// See [`CallerCounters::connections_closed`].
+    pub connections_closed: u64,
+    /// See [`CallerCounters::connections_refused`].
+    pub connections_refused: u64,
+    /// See [`CallerCounters::accepts_failed`].
+    pub accepts_failed: u64,
 }
 
 impl CallerCounters {
@@ -56,6 +68,9 @@
         ReportedCounts {
             bodies_refused: self.bodies_refused,
             bodies_yielded: self.bodies_yielded,
+            connections_closed: self.connections_closed,
+            connections_refused: self.connections_refused,
+            accepts_failed: self.accepts_failed,
         }
     }
 
@@ -63,6 +78,13 @@
     pub fn write_to(&self, page: &mut MetricsWriter, held: &HeldForCallers) {
         page.value("ledgespool_bodies_refused_total", self.bodies_refused);
         page.value("ledgespool_bodies_yielded_total", self.bodies_yielded);
+        let closed = self.connections_closed;
+        page.value("ledgespool_accepted_connections_closed_total", closed);
+        let refused = self.connections_refused;
+        page.value("ledgespool_accepted_connections_refused_total", refused);
+        page.value("ledgespool_accepts_failed_total", self.accepts_failed);
+        let limit = held.connections_limit as u64;
+        page.value("ledgespool_accepted_connections_limit", limit);
         page.value("ledgespool_caller_memory_bytes", held.memory_bytes);
         page.value(
             "ledgespool_caller_memory_limit_bytes",
@@ -77,6 +99,9 @@
         Self {
             bodies_refused: self.bodies_refused - earlier.bodies_refused,
             bodies_yielded: self.bodies_yielded - earlier.bodies_yielded,
+            connections_closed: self.connections_closed - earlier.connections_closed,
+            connections_refused: self.connections_refused - earlier.connections_refused,
+            accepts_failed: self.accepts_failed - earlier.accepts_failed,
         }
     }
 }
@@ -90,4 +115,6 @@
     pub memory_limit_bytes: u64,
     /// Bodies that are arriving.
     pub arriving_bodies: usize,
+    /// The limit of callers' connections.
+    pub connections_limit: usize,
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -14,6 +14,7 @@
 
 use super::arriving_bodies::ArrivingBodies;
 use super::budget::RetryWindow;
+use super::caller_connections::ListenerConnections;
 use super::caller_limits::CallerLimits;
 use super::caller_metrics::HeldForCallers;
 use super::catch_up::OpenFetches;
@@ -115,6 +116,8 @@
     /// Memory that is held for callers.
     pub(super) caller_memory: ByteAccount,
     pub(super) arriving_bodies: ArrivingBodies,
+    /// Connections that were accepted.
+    pub(super) connections: ListenerConnections,
     /// The store's epoch, as observed by this host or reported by another.
     pub(super) store_epoch: cell::Cell<u64>,
 }
@@ -171,6 +174,7 @@
             open_answers: cell::Cell::default(),
             caller_memory: ByteAccount::default(),
             arriving_bodies: ArrivingBodies::default(),
+            connections: ListenerConnections::default(),
             store_epoch: cell::Cell::new(0),
         }
     }
@@ -336,6 +340,7 @@
                 memory_bytes: self.caller_memory.held(),
                 memory_limit_bytes: self.caller_memory_limit(),
                 arriving_bodies: self.arriving_bodies.count(),
+                connections_limit: self.caller_limits().connections(),
             },
             log_suppressed: loss.left_out,
             log_dropped: loss.dropped,
@@ -343,6 +348,7 @@
         let mut page = MetricsWriter::default();
         self.metrics.borrow().write_to(&mut page, &current);
         self.view_ages.write_to(&mut page, now);
+        self.connections.write_to(&mut page);
         self.write_retries(&mut page);
         page.into_text()
     }
@@ -365,7 +371,9 @@
         self.log_fleet_changes(&changes, "timer");
         let fleet = self.fleet.borrow();
         let is_gone = |id: &str| !fleet.contains(id);
-        self.pool.borrow_mut().on_tick(is_gone, now);
+        let server_connections = self.caller_limits().server_connections();
+        let max_idle = server_connections.saturating_sub(self.open_requests() as usize);
+        self.pool.borrow_mut().on_tick(is_gone, max_idle, now);
         self.drop_expired_snapshot();
         self.update_membership_complete(now);
         self.quarantine.on_tick(now);
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -14,6 +14,7 @@
 use rand::seq::IteratorRandom as _;
 use tokio::net::TcpListener;
 
+use super::caller_connections::{AnsweringBody, ConnectionUse, ListenerKind, OpenConnection};
 use super::configuration::ServiceConfiguration;
 use super::departure::CallerDeparture;
 use super::host::EntryHost;
@@ -81,10 +82,14 @@
 
     /// Accepts connections on all sockets, in tasks of the current thread.
     pub fn serve<W: WireProtocol>(self, host: &rc::Rc<EntryHost<W>>) {
-        tokio::task::spawn_local(accept(self.callers, rc::Rc::clone(host), serve_caller));
-        tokio::task::spawn_local(accept(self.readiness, rc::Rc::clone(host), serve_host_call));
-        tokio::task::spawn_local(accept(self.lookups, rc::Rc::clone(host), serve_host_call));
-        tokio::task::spawn_local(accept(self.peers, rc::Rc::clone(host), serve_peer));
+        let callers = (self.callers, ListenerKind::Requests);
+        let readiness = (self.readiness, ListenerKind::Readiness);
+        let lookups = (self.lookups, ListenerKind::Lookups);
+        let peers = (self.peers, ListenerKind::Peers);
+        tokio::task::spawn_local(accept(callers, rc::Rc::clone(host), serve_caller));
+        tokio::task::spawn_local(accept(readiness, rc::Rc::clone(host), serve_host_call));
+        tokio::task::spawn_local(accept(lookups, rc::Rc::clone(host), serve_host_call));
+        tokio::task::spawn_local(accept(peers, rc::Rc::clone(host), serve_peer));
     }
 }
 
@@ -96,24 +101,41 @@
 }
 
 async fn accept<W, F>(
-    listener: TcpListener,
+    (listener, kind): (TcpListener, ListenerKind),
     host: rc::Rc<EntryHost<W>>,
-    serve: impl Fn(rc::Rc<EntryHost<W>>, tokio::net::TcpStream) -> F,
+    serve: impl Fn(rc::Rc<EntryHost<W>>, AcceptedConnection) -> F,
 ) where
     W: WireProtocol,
     F: Future<Output = ()> + 'static,
 {
     loop {
         let Ok((stream, _peer)) = listener.accept().await else {
+            host.metrics.borrow_mut().callers.accepts_failed += 1;
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Some(place) = host.admit_connection(kind) else {
+            continue;
+        };
+        let has_replaced = place.has_replaced();
         if stream.set_nodelay(true).is_ok() {
-            tokio::task::spawn_local(serve(rc::Rc::clone(&host), stream));
+            let connection = AcceptedConnection { stream, place };
+            tokio::task::spawn_local(serve(rc::Rc::clone(&host), connection));
+        }
+        if has_replaced {
+            // Lets the task of the other connection close it.
+            tokio::task::yield_now().await;
         }
     }
 }
 
+/// A connection that was accepted and has a place.
+#[derive(Debug)]
+struct AcceptedConnection {
+    stream: tokio::net::TcpStream,
+    place: OpenConnection,
+}
+
 fn builder(head_timeout: time::Duration) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
@@ -124,7 +146,8 @@
     builder
 }
 
-async fn serve_caller<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
+async fn serve_caller<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, accepted: AcceptedConnection) {
+    let AcceptedConnection { stream, place } = accepted;
     let stream = SharedStream::from(stream);
     let departure = rc::Rc::new(CallerDeparture::default());
     let pipeline = cell::RefCell::new(RequestPipeline::default());
@@ -132,30 +155,36 @@
     let service = service_fn(|request: http::Request<Incoming>| {
         let sent_from = pipeline.borrow_mut().on_request(host.now());
         boundary.on_request(request.body().size_hint().exact());
+        let connection = rc::Rc::clone(place.connection());
+        connection.enter(ConnectionUse::Reading, host.now());
         let arrival = RequestArrival {
             sent_from,
             departure: rc::Rc::clone(&departure),
             boundary: rc::Rc::clone(&boundary),
+            connection: rc::Rc::clone(&connection),
         };
         let answer = request::serve(rc::Rc::clone(&host), request, arrival);
         let (host, pipeline) = (&host, &pipeline);
+        let clock = host.clock();
         async move {
             let answer = answer.await;
             pipeline.borrow_mut().on_answer(host.now());
+            let answer = answer.map(|body| AnsweringBody::new(body, connection, clock));
             Ok::<_, convert::Infallible>(answer)
         }
     });
     let requests = BoundaryStream::new(stream.clone(), rc::Rc::clone(&boundary));
     let connection =
         builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(requests), service);
-    serve_until_left(&host, &stream, &departure, connection).await;
+    serve_until_left(&host, (&stream, &place), &departure, connection).await;
 }
 
-/// Serves a connection until it ends or its peer leaves, which drops the work on all its requests.
+/// Serves a connection until it ends, its peer leaves or it must give up its place, which drops the
+/// work on all its requests.
 /// The HTTP server does not notice a departure while it has buffered a part of the next request.
 async fn serve_until_left<W: WireProtocol>(
     host: &EntryHost<W>,
-    stream: &SharedStream,
+    (stream, place): (&SharedStream, &OpenConnection),
     departure: &CallerDeparture,
     connection: impl Future<Output = hyper::Result<()>>,
 ) {
@@ -167,6 +196,7 @@
         // A departure is recorded before anything else is done for the caller.
         biased;
         () = left => {}
+        () = place.closed() => {}
         // A broken connection needs no handling here; the peer sees it.
         _outcome = connection => {}
     }
@@ -182,24 +212,27 @@
 
 async fn serve_small<W: WireProtocol>(
     host: rc::Rc<EntryHost<W>>,
-    stream: tokio::net::TcpStream,
+    accepted: AcceptedConnection,
     answer: impl Fn(&EntryHost<W>, &http::Request<Incoming>) -> http::Response<Full<Bytes>>,
 ) {
     let service = service_fn(|request: http::Request<Incoming>| {
         let answer = answer(&host, &request);
         async move { Ok::<_, convert::Infallible>(answer) }
     });
-    // A broken connection needs no handling here; the caller sees it.
-    let _outcome = builder(DEFAULT_HEAD_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let AcceptedConnection { stream, place } = accepted;
+    let connection = builder(DEFAULT_HEAD_TIMEOUT).serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        () = place.closed() => {}
+        // A broken connection needs no handling here; the caller sees it.
+        _outcome = connection => {}
+    }
 }
 
 async fn serve_host_call<W: WireProtocol>(
     host: rc::Rc<EntryHost<W>>,
-    stream: tokio::net::TcpStream,
+    accepted: AcceptedConnection,
 ) {
-    serve_small(host, stream, |host, request| {
+    serve_small(host, accepted, |host, request| {
         match host.wire.read_host_call(request.method(), request.uri()) {
             Some(HostCall::Readiness) if host.wants_callers() => {
                 empty_response(http::StatusCode::OK)
@@ -250,7 +283,8 @@
     live.into_iter().choose_multiple(random, MAX_LOOKUP_HOSTS)
 }
 
-async fn serve_peer<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, stream: tokio::net::TcpStream) {
+async fn serve_peer<W: WireProtocol>(host: rc::Rc<EntryHost<W>>, accepted: AcceptedConnection) {
+    let AcceptedConnection { stream, place } = accepted;
     let stream = SharedStream::from(stream);
     let departure = rc::Rc::new(CallerDeparture::default());
     let service = service_fn(|request: http::Request<Incoming>| {
@@ -269,7 +303,7 @@
     });
     let connection =
         builder(DEFAULT_HEAD_TIMEOUT).serve_connection(TokioIo::new(stream.clone()), service);
-    serve_until_left(&host, &stream, &departure, connection).await;
+    serve_until_left(&host, (&stream, &place), &departure, connection).await;
 }
 
 async fn serve_peer_request<W: WireProtocol>(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 pub mod body_buffer;
 mod body_reader;
 pub mod budget;
+pub mod caller_connections;
 pub mod caller_limits;
 pub mod caller_metrics;
 pub mod catch_up;
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -92,12 +92,28 @@
         self.idle.remove(server_id);
     }
 
-    /// Closes expired and broken connections, and those to servers that are gone.
-    pub fn on_tick(&mut self, is_gone: impl Fn(&str) -> bool, now: Moment) {
+    /// Closes expired and broken connections, those to servers that are gone, and the oldest of more
+    /// than `max_idle`.
+    pub fn on_tick(&mut self, is_gone: impl Fn(&str) -> bool, max_idle: usize, now: Moment) {
         self.idle.retain(|server_id, idle| {
             idle.retain(|one| now < one.until && !one.connection.sender.is_closed());
             !idle.is_empty() && !is_gone(server_id)
         });
+        let surplus = self.idle_count().saturating_sub(max_idle);
+        if surplus > 0 {
+            self.close_oldest(surplus);
+        }
+    }
+
+    fn close_oldest(&mut self, count: usize) {
+        let mut since: Vec<Moment> = self.idle.values().flatten().map(|one| one.since).collect();
+        since.sort_unstable();
+        let Some(last) = since.get(count - 1).copied() else {
+            return;
+        };
+        for idle in self.idle.values_mut() {
+            idle.retain(|one| one.since > last);
+        }
     }
 
     /// The number of idle connections, for metrics.
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -11,6 +11,7 @@
 use super::answer::AnswerBody;
 use super::attempt_record::ExpectedAnswer;
 use super::attempts::{self, AnswerSource, AnsweredRequest};
+use super::caller_connections::{CallerConnection, ConnectionUse};
 use super::configuration::RouteRule;
 use super::customer::CustomerRule;
 use super::decision_log::LogPriority;
@@ -43,6 +44,8 @@
     pub departure: rc::Rc<CallerDeparture>,
     /// Whether another request was read behind it.
     pub boundary: rc::Rc<RequestBoundary>,
+    /// The connection that it arrived on.
+    pub connection: rc::Rc<CallerConnection>,
 }
 
 /// Serves one request and returns the response for the caller.
@@ -61,6 +64,8 @@
     };
     let progress = rc::Rc::clone(&guard.progress);
     let open = OpenRequest::read(&host, request, times, progress).await;
+    let connection = &arrival.connection;
+    connection.enter(ConnectionUse::Serving, host.now());
     let mut response = match process(&mut guard, open).await {
         Ok(response) => response,
         Err(failure) if failure.completion == RequestCompletion::CallerLeft => {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -46,6 +46,8 @@
     pub caller_memory_bytes: Option<u64>,
     /// File descriptors that the process may use.
     pub descriptors: u32,
+    /// Callers' connections that are held at most; `None` takes a part of the descriptors.
+    pub caller_connections: Option<u32>,
     /// Bandwidth of the host's link, in Mbit/s.
     pub link_mbps: u32,
     /// The host's share of a core; small hosts get fewer callers.
@@ -195,6 +197,7 @@
 fn read_settings(reader: &mut object_reader::ObjectReader<'_, '_>) -> EntrySettings {
     let heartbeat_port = reader.integer("heartbeat_port", 1..=u32::from(u16::MAX));
     let memory_mb = reader.integer("memory_mb", 1..=u32::MAX);
+    let descriptors = reader.integer("descriptors", 1..=u32::MAX);
     EntrySettings {
         name: reader.string("name"),
         hall: reader.string("hall"),
@@ -214,7 +217,8 @@
         caller_memory_bytes: reader
             .optional_integer("caller_memory_mb", 1..=memory_mb)
             .map(|megabytes| u64::from(megabytes) << 20),
-        descriptors: reader.integer("descriptors", 1..=u32::MAX),
+        descriptors,
+        caller_connections: reader.optional_integer("caller_connections", 1..=descriptors),
         processor_share: reader
             .optional_number("processor_share", 0.0..=1_024.0)
             .unwrap_or(1.0),
