Bound the memory and the time of request heads

768 connections with incomplete heads of 120 KB took 121 MB of a host of 64; on a host that has descriptors for more than its memory bears, 72 to 75 MB after the connections were bounded.

Cause: a head was read up to 128 KB, whatever the configuration allows, its buffer was counted nowhere, and a head could take twice the idle time. A buffer that has grown stays with its connection.

A head is read up to twice the configured size. Heads beyond 8 KB count for the memory for callers; when it is short, the idle connection that has held such memory for the longest time is closed. A head must be complete within twice the configured time from its first byte, apart from the idle time. One read returns less than 8 KB, so that the HTTP library does not enlarge its buffers for bodies. Look-ups have heads of up to 16 KB.

--- a/src/entry/body_reader.rs
+++ b/src/entry/body_reader.rs
@@ -68,7 +68,8 @@
     }
 }
 
-/// Adds a piece to its body. If memory is short, other bodies or this one yield.
+/// Adds a piece to its body. If memory is short, other bodies or this one yield, or
+/// connections are closed.
 fn add_piece<W: WireProtocol>(
     host: &EntryHost<W>,
     arriving: &ArrivingBody,
@@ -85,10 +86,9 @@
         if arriving.push(piece, limit) {
             return Ok(());
         }
-        if !host.arriving_bodies.yield_oldest(host.now()) {
+        if !host.make_room() {
             return Err(RequestFailure::NO_MEMORY);
         }
-        host.metrics.borrow_mut().callers.bodies_yielded += 1;
     }
 }
 
--- a/src/entry/caller_connections.rs
+++ b/src/entry/caller_connections.rs
@@ -10,6 +10,7 @@
 use super::caller_limits::CallerLimits;
 use super::host::EntryHost;
 use super::wire::WireProtocol;
+use crate::byte_account::{ByteAccount, HeldBytes};
 use crate::metrics_writer::MetricsWriter;
 use crate::timer::{BootClock, Moment};
 
@@ -71,6 +72,18 @@
 }
 
 impl<W: WireProtocol> EntryHost<W> {
+    /// Makes room in the memory for callers, at the cost of a connection or a body; returns whether it
+    /// could.
+    pub(super) fn make_room(&self) -> bool {
+        let requests = &self.connections.tables[ListenerKind::Requests as usize];
+        let has_closed = requests.close_holder();
+        let has_yielded = !has_closed && self.arriving_bodies.yield_oldest(self.now());
+        let counters = &mut self.metrics.borrow_mut().callers;
+        counters.connections_closed += u64::from(has_closed);
+        counters.bodies_yielded += u64::from(has_yielded);
+        has_closed || has_yielded
+    }
+
     /// Gives a new connection a place; `None` if it must be closed.
     pub(super) fn admit_connection(&self, kind: ListenerKind) -> Option<OpenConnection> {
         let limit = kind.limit(&self.caller_limits());
@@ -126,6 +139,9 @@
 pub struct CallerConnection {
     current: cell::Cell<ConnectionUse>,
     since: cell::Cell<Moment>,
+    /// Memory of its read buffer, if that has grown for a large head. It keeps this size while the
+    /// connection is idle.
+    held: cell::RefCell<Option<HeldBytes>>,
     is_closed: cell::Cell<bool>,
     closed: Notify,
 }
@@ -159,6 +175,23 @@
         self.connections.borrow().len()
     }
 
+    /// Closes the idle connection that has held counted memory for the longest time; returns whether
+    /// there is one.
+    pub fn close_holder(&self) -> bool {
+        let connections = self.connections.borrow();
+        let holders = connections.iter().filter(|(_, connection)| {
+            connection.current.get() == ConnectionUse::Idle && connection.held.borrow().is_some()
+        });
+        let oldest = holders.min_by_key(|(_, connection)| connection.since.get());
+        let oldest = oldest.map(|(number, connection)| (*number, rc::Rc::clone(connection)));
+        drop(connections);
+        if let Some((number, connection)) = &oldest {
+            self.connections.borrow_mut().remove(number);
+            connection.close();
+        }
+        oldest.is_some()
+    }
+
     fn close_one(&self, now: Moment) -> Option<()> {
         let oldest = |current: ConnectionUse, min_ms: u64| {
             let connections = self.connections.borrow();
@@ -183,8 +216,27 @@
         self.since.set(now);
     }
 
+    /// Counts `bytes` for its read buffer, unless more than `limit` bytes would be held in all;
+    /// returns whether they are counted.
+    pub fn try_hold(&self, bytes: u64, account: &ByteAccount, limit: u64) -> bool {
+        let mut held = self.held.borrow_mut();
+        match held.as_mut() {
+            Some(held) => held.try_grow(bytes.saturating_sub(held.bytes()), limit),
+            None => {
+                *held = account.try_hold(bytes, limit);
+                held.is_some()
+            }
+        }
+    }
+
+    /// Gives back what [`Self::try_hold`] has counted.
+    pub fn release(&self) {
+        self.held.borrow_mut().take();
+    }
+
     /// Closes the connection.
     pub fn close(&self) {
+        self.release();
         self.is_closed.set(true);
         self.closed.notify_one();
     }
--- a/src/entry/caller_metrics.rs
+++ b/src/entry/caller_metrics.rs
@@ -26,6 +26,8 @@
     pub bodies_refused: u64,
     /// Bodies that yielded their memory to others while they arrived.
     pub bodies_yielded: u64,
+    /// Connections closed because there was no memory for a head.
+    pub heads_refused: u64,
     /// Connections closed to give their places to others.
     pub connections_closed: u64,
     /// Connections closed at once because there was no place for them.
@@ -43,6 +45,8 @@
     pub bodies_refused: u64,
     /// See [`CallerCounters::bodies_yielded`].
     pub bodies_yielded: u64,
+    /// See [`CallerCounters::heads_refused`].
+    pub heads_refused: u64,
     /// See [`CallerCounters::connections_closed`].
     pub connections_closed: u64,
     /// See [`CallerCounters::connections_refused`].
@@ -68,6 +72,7 @@
         ReportedCounts {
             bodies_refused: self.bodies_refused,
             bodies_yielded: self.bodies_yielded,
+            heads_refused: self.heads_refused,
             connections_closed: self.connections_closed,
             connections_refused: self.connections_refused,
             accepts_failed: self.accepts_failed,
@@ -78,6 +83,7 @@
     pub fn write_to(&self, page: &mut MetricsWriter, held: &HeldForCallers) {
         page.value("ledgespool_bodies_refused_total", self.bodies_refused);
         page.value("ledgespool_bodies_yielded_total", self.bodies_yielded);
+        page.value("ledgespool_heads_refused_total", self.heads_refused);
         let closed = self.connections_closed;
         page.value("ledgespool_accepted_connections_closed_total", closed);
         let refused = self.connections_refused;
@@ -99,6 +105,7 @@
         Self {
             bodies_refused: self.bodies_refused - earlier.bodies_refused,
             bodies_yielded: self.bodies_yielded - earlier.bodies_yielded,
+            heads_refused: self.heads_refused - earlier.heads_refused,
             connections_closed: self.connections_closed - earlier.connections_closed,
             connections_refused: self.connections_refused - earlier.connections_refused,
             accepts_failed: self.accepts_failed - earlier.accepts_failed,
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -203,11 +203,20 @@
 
     /// The memory for all that is held for callers, in bytes.
     fn caller_memory_limit(&self) -> u64 {
+        self.caller_limits().memory(self.max_body_bytes())
+    }
+
+    /// The memory up to which heads of requests may grow, in bytes. The rest is for small bodies.
+    pub(super) fn head_memory_limit(&self) -> u64 {
+        let max_body_bytes = self.max_body_bytes();
+        self.caller_limits().memory_for(u64::MAX, max_body_bytes)
+    }
+
+    fn max_body_bytes(&self) -> u64 {
         let routes = self.routes.borrow();
-        let max_body_bytes = routes
+        routes
             .as_ref()
-            .map_or(0, |routes| routes.configuration().limits.body_bytes);
-        self.caller_limits().memory(max_body_bytes)
+            .map_or(0, |routes| routes.configuration().limits.body_bytes)
     }
 
     /// The active routes.
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -17,6 +17,7 @@
 use super::caller_connections::{AnsweringBody, ConnectionUse, ListenerKind, OpenConnection};
 use super::configuration::ServiceConfiguration;
 use super::departure::CallerDeparture;
+use super::held_head::HeldHead;
 use super::host::EntryHost;
 use super::peer_message::PeerFormatError;
 use super::peers::ServingHost;
@@ -41,6 +42,11 @@
 const HEAD_TIMEOUT_FACTOR: u32 = 2;
 /// Largest head of a request, in bytes: several times what usual configurations allow.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// A head is read up to the configured size multiplied by this. Separators and the request line do
+/// not count for that size.
+const HEAD_SIZE_FACTOR: usize = 2;
+/// Smallest buffer for a head, in bytes.
+const MIN_HEAD_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum number of headers of a request: twice the HTTP library's default.
 const MAX_HEADERS: usize = 200;
 /// Maximum number of hosts in a lookup response, set by the platform's protocol.
@@ -173,9 +179,11 @@
             Ok::<_, convert::Infallible>(answer)
         }
     });
-    let requests = BoundaryStream::new(stream.clone(), rc::Rc::clone(&boundary));
-    let connection =
-        builder(caller_head_timeout(&host)).serve_connection(TokioIo::new(requests), service);
+    let head = HeldHead::new(rc::Rc::clone(&host), rc::Rc::clone(place.connection()));
+    let requests = BoundaryStream::new(stream.clone(), rc::Rc::clone(&boundary), head);
+    let connection = builder(caller_idle_timeout(&host))
+        .max_buf_size(max_head_bytes(&host))
+        .serve_connection(TokioIo::new(requests), service);
     serve_until_left(&host, (&stream, &place), &departure, connection).await;
 }
 
@@ -202,7 +210,18 @@
     }
 }
 
-fn caller_head_timeout<W: WireProtocol>(host: &EntryHost<W>) -> time::Duration {
+/// The size up to which a head is read, in bytes. A larger limit may be configured while a connection
+/// is open.
+fn max_head_bytes<W: WireProtocol>(host: &EntryHost<W>) -> usize {
+    let configured = host.routes().map_or(u64::MAX, |routes| {
+        routes.configuration().limits.header_bytes
+    });
+    let configured = usize::try_from(configured).unwrap_or(usize::MAX);
+    let doubled = configured.saturating_mul(HEAD_SIZE_FACTOR);
+    doubled.clamp(MIN_HEAD_BUFFER_BYTES, MAX_HEAD_BYTES)
+}
+
+fn caller_idle_timeout<W: WireProtocol>(host: &EntryHost<W>) -> time::Duration {
     host.routes().map_or(DEFAULT_HEAD_TIMEOUT, |routes| {
         let limits = routes.configuration().limits;
         let timeout = time::Duration::from_millis(limits.idle_ms.max(limits.header_ms));
@@ -220,7 +239,9 @@
         async move { Ok::<_, convert::Infallible>(answer) }
     });
     let AcceptedConnection { stream, place } = accepted;
-    let connection = builder(DEFAULT_HEAD_TIMEOUT).serve_connection(TokioIo::new(stream), service);
+    let connection = builder(DEFAULT_HEAD_TIMEOUT)
+        .max_buf_size(MIN_HEAD_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         () = place.closed() => {}
         // A broken connection needs no handling here; the caller sees it.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -54,6 +54,7 @@
 pub mod gossip;
 pub mod handoff;
 pub mod hash;
+mod held_head;
 pub mod host;
 pub mod host_budget;
 mod host_entries;
--- a/src/request_boundary.rs
+++ b/src/request_boundary.rs
@@ -6,7 +6,7 @@
 //! behind it, although it has read them. [`BoundaryStream`] passes on at most one head at a time and
 //! keeps the rest.
 
-use std::{cell, io, pin, rc, task};
+use std::{cell, io, pin, rc, task, time};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -36,6 +36,8 @@
     rest: cell::RefCell<Vec<u8>>,
     /// Heads that were passed on and whose requests have not begun.
     waiting_heads: cell::Cell<u32>,
+    /// Size of the part of the current head that was passed on, in bytes; 0 between two heads.
+    head_bytes: cell::Cell<usize>,
 }
 
 impl RequestBoundary {
@@ -103,7 +105,20 @@
         }
     }
 
+    fn is_within_head(&self) -> bool {
+        matches!(self.part.get(), ReadPart::Head { .. })
+    }
+
     fn take_head(&self, bytes: &[u8]) -> usize {
+        let taken = self.scan_head(bytes);
+        self.head_bytes.set(match self.part.get() {
+            ReadPart::Head { .. } => self.head_bytes.get() + taken,
+            _ => 0,
+        });
+        taken
+    }
+
+    fn scan_head(&self, bytes: &[u8]) -> usize {
         let mut part = self.part.get();
         for (at, byte) in bytes.iter().enumerate() {
             part = match (part, byte) {
@@ -124,22 +139,89 @@
     }
 }
 
+/// Decides whether the head of a request may grow.
+pub trait HeadLimit {
+    /// Whether a head of which `bytes` have been read may go on. Called for each part of a head.
+    fn allows(&mut self, bytes: usize) -> bool;
+
+    /// The time that a head may take from its first byte.
+    fn timeout(&self) -> time::Duration;
+}
+
+/// Largest part that is returned by one read, in bytes. An HTTP server enlarges its buffer when a read
+/// fills it, and keeps the larger one while it waits for the rest of a body.
+const MAX_READ_BYTES: usize = (8 << 10) - 1;
+
 /// A stream that is read up to the end of each head and each body.
 #[derive(Debug)]
-pub struct BoundaryStream {
+pub struct BoundaryStream<L> {
     stream: SharedStream,
     boundary: rc::Rc<RequestBoundary>,
+    head_limit: L,
+    /// Ends when an incomplete head has taken too long.
+    head_timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
 }
 
-impl BoundaryStream {
+impl<L: HeadLimit> BoundaryStream<L> {
     /// Reads `stream` and records its requests in `boundary`.
     #[must_use]
-    pub const fn new(stream: SharedStream, boundary: rc::Rc<RequestBoundary>) -> Self {
-        Self { stream, boundary }
+    pub const fn new(
+        stream: SharedStream,
+        boundary: rc::Rc<RequestBoundary>,
+        head_limit: L,
+    ) -> Self {
+        Self {
+            stream,
+            boundary,
+            head_limit,
+            head_timer: None,
+        }
+    }
+
+    /// Reads one part, as much as fits and at most [`MAX_READ_BYTES`].
+    fn poll_part(
+        &mut self,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        if buf.remaining() <= MAX_READ_BYTES + 1 {
+            return pin::Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let mut part = [0; MAX_READ_BYTES];
+        let mut part = ReadBuf::new(&mut part);
+        task::ready!(pin::Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        buf.put_slice(part.filled());
+        task::Poll::Ready(Ok(()))
+    }
+
+    /// Whether the head that is arriving has taken too long.
+    fn poll_head_timeout(&mut self, cx: &mut task::Context<'_>) -> bool {
+        if !self.boundary.is_within_head() {
+            self.head_timer = None;
+            return false;
+        }
+        let timeout = self.head_limit.timeout();
+        let timer = self
+            .head_timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        timer.as_mut().poll(cx).is_ready()
+    }
+
+    fn check_head(&mut self) -> io::Result<()> {
+        let head_bytes = self.boundary.head_bytes.get();
+        if head_bytes == 0 {
+            self.head_timer = None;
+            return Ok(());
+        }
+        if self.head_limit.allows(head_bytes) {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::OutOfMemory.into())
+        }
     }
 }
 
-impl AsyncRead for BoundaryStream {
+impl<L: HeadLimit + Unpin> AsyncRead for BoundaryStream<L> {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -152,18 +234,25 @@
             let taken = boundary.take_part(&rest[..fitting]);
             buf.put_slice(&rest[..taken]);
             rest.drain(..taken);
-            return task::Poll::Ready(Ok(()));
+            return task::Poll::Ready(self.check_head());
         }
         let before = buf.filled().len();
-        task::ready!(pin::Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let polled = self.poll_part(cx, buf)?;
+        if polled.is_pending() {
+            return if self.poll_head_timeout(cx) {
+                task::Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+            } else {
+                task::Poll::Pending
+            };
+        }
         let taken = boundary.take_part(&buf.filled()[before..]);
         rest.extend_from_slice(&buf.filled()[before + taken..]);
         buf.set_filled(before + taken);
-        task::Poll::Ready(Ok(()))
+        task::Poll::Ready(self.check_head())
     }
 }
 
-impl AsyncWrite for BoundaryStream {
+impl<L: Unpin> AsyncWrite for BoundaryStream<L> {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
