Close the connections of callers that do not read their answers in time

40 callers that asked for large answers and read nothing shut out everybody: no ordinary request was answered within 20 s, as long as they stayed.

Cause: an answer that is passed on while it arrives holds a slot and a connection of its server. Its deadline was looked at only when the caller's connection took more bytes, so never for a caller that does not read.

The periodic work closes a connection whose answer has not ended 200 ms after its deadline. The deadline within the answer stays: it ends answers that are read. Where the whole answer is in the host's memory, the connection is closed after 10 s in which the caller takes nothing.

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -87,6 +87,18 @@
         Self::Whole(Some(bytes))
     }
 
+    /// The time until a streamed body is broken off.
+    #[must_use]
+    pub fn time_left(&self) -> Option<time::Duration> {
+        match self {
+            Self::Whole(_) => None,
+            Self::Streamed(stream) => {
+                let deadline = stream.deadline.deadline();
+                Some(deadline.saturating_duration_since(tokio::time::Instant::now()))
+            }
+        }
+    }
+
     /// A body of which `buffered` was read, and which is broken off after `time_left`.
     #[must_use]
     pub fn streamed(
--- a/src/entry/caller_connections.rs
+++ b/src/entry/caller_connections.rs
@@ -14,6 +14,12 @@
 use crate::metrics_writer::MetricsWriter;
 use crate::timer::{BootClock, Moment};
 
+/// An answer that its caller reads is broken off at its deadline. One that the caller does not read is
+/// broken off so much later, in milliseconds.
+const OVERDUE_MARGIN_MS: u64 = 200;
+/// Time in which a caller must read something of a complete answer, in milliseconds. It is longer
+/// than the usual deadlines.
+const MAX_BLOCKED_MS: u64 = 10_000;
 /// A connection whose request is still arriving keeps its place for this time, in milliseconds.
 const MIN_READING_MS: u64 = 1_000;
 
@@ -84,6 +90,13 @@
         has_closed || has_yielded
     }
 
+    /// Closes the connections whose callers have not read their answers in time.
+    pub(super) fn close_unread_answers(&self, now: Moment) {
+        let requests = &self.connections.tables[ListenerKind::Requests as usize];
+        let count = requests.close_unread(now);
+        self.metrics.borrow_mut().callers.answers_unread += count;
+    }
+
     /// Gives a new connection a place; `None` if it must be closed.
     pub(super) fn admit_connection(&self, kind: ListenerKind) -> Option<OpenConnection> {
         let limit = kind.limit(&self.caller_limits());
@@ -142,6 +155,10 @@
     /// Memory of its read buffer, if that has grown for a large head. It keeps this size while the
     /// connection is idle.
     held: cell::RefCell<Option<HeldBytes>>,
+    /// When the answer that is passed on must end.
+    answer_until: cell::Cell<Option<Moment>>,
+    /// Since when the caller has read nothing of what is written to it.
+    blocked_since: cell::Cell<Option<Moment>>,
     is_closed: cell::Cell<bool>,
     closed: Notify,
 }
@@ -175,6 +192,31 @@
         self.connections.borrow().len()
     }
 
+    /// Closes the connections whose callers have not read their answers in time; returns their number.
+    ///
+    /// ```
+    /// use ledgespool::entry::caller_connections::ConnectionTable;
+    /// use ledgespool::timer::Moment;
+    /// let table = ConnectionTable::default();
+    /// let place = table.admit(9, Moment(0)).expect("a place");
+    /// place.connection().on_answer(Some(Moment(3_000)));
+    /// assert_eq!(table.close_unread(Moment(3_000)), 0);
+    /// assert_eq!(table.close_unread(Moment(3_300)), 1);
+    /// assert!(place.is_closed());
+    /// ```
+    pub fn close_unread(&self, now: Moment) -> u64 {
+        let mut count = 0;
+        self.connections.borrow_mut().retain(|_, connection| {
+            let is_unread = connection.is_unread(now);
+            if is_unread {
+                connection.close();
+                count += 1;
+            }
+            !is_unread
+        });
+        count
+    }
+
     /// Closes the idle connection that has held counted memory for the longest time; returns whether
     /// there is one.
     pub fn close_holder(&self) -> bool {
@@ -214,6 +256,27 @@
     pub fn enter(&self, current: ConnectionUse, now: Moment) {
         self.current.set(current);
         self.since.set(now);
+        self.answer_until.set(None);
+    }
+
+    /// Records that an answer begins, which must end by `until`.
+    pub fn on_answer(&self, until: Option<Moment>) {
+        self.answer_until.set(until);
+    }
+
+    /// Records a write; `is_blocked` tells whether the caller took nothing.
+    pub fn on_write(&self, is_blocked: bool, now: Moment) {
+        let since = self.blocked_since.get().unwrap_or(now);
+        self.blocked_since.set(is_blocked.then_some(since));
+    }
+
+    /// Whether the caller has not read its answer in time.
+    fn is_unread(&self, now: Moment) -> bool {
+        match (self.answer_until.get(), self.blocked_since.get()) {
+            (Some(until), _) => now >= until.plus(OVERDUE_MARGIN_MS),
+            (None, Some(since)) => now.since(since) >= MAX_BLOCKED_MS,
+            (None, None) => false,
+        }
     }
 
     /// Counts `bytes` for its read buffer, unless more than `limit` bytes would be held in all;
--- a/src/entry/caller_metrics.rs
+++ b/src/entry/caller_metrics.rs
@@ -32,6 +32,8 @@
     pub connections_closed: u64,
     /// Connections closed at once because there was no place for them.
     pub connections_refused: u64,
+    /// Connections closed because their callers did not read their answers in time.
+    pub answers_unread: u64,
     /// Connections that could not be accepted, for example for lack of descriptors.
     pub accepts_failed: u64,
     reported: ReportedCounts,
@@ -51,6 +53,8 @@
     pub connections_closed: u64,
     /// See [`CallerCounters::connections_refused`].
     pub connections_refused: u64,
+    /// See [`CallerCounters::answers_unread`].
+    pub answers_unread: u64,
     /// See [`CallerCounters::accepts_failed`].
     pub accepts_failed: u64,
 }
@@ -75,6 +79,7 @@
             heads_refused: self.heads_refused,
             connections_closed: self.connections_closed,
             connections_refused: self.connections_refused,
+            answers_unread: self.answers_unread,
             accepts_failed: self.accepts_failed,
         }
     }
@@ -88,6 +93,7 @@
         page.value("ledgespool_accepted_connections_closed_total", closed);
         let refused = self.connections_refused;
         page.value("ledgespool_accepted_connections_refused_total", refused);
+        page.value("ledgespool_answers_unread_total", self.answers_unread);
         page.value("ledgespool_accepts_failed_total", self.accepts_failed);
         let limit = held.connections_limit as u64;
         page.value("ledgespool_accepted_connections_limit", limit);
@@ -108,6 +114,7 @@
             heads_refused: self.heads_refused - earlier.heads_refused,
             connections_closed: self.connections_closed - earlier.connections_closed,
             connections_refused: self.connections_refused - earlier.connections_refused,
+            answers_unread: self.answers_unread - earlier.answers_unread,
             accepts_failed: self.accepts_failed - earlier.accepts_failed,
         }
     }
--- a/src/entry/held_head.rs
+++ b/src/entry/caller_stream.rs
@@ -1,11 +1,12 @@
-//! The memory of a head that is arriving, within the memory that a host has for callers.
+//! The limits of one caller's connection: the memory and the time of a head that is arriving, and the
+//! time in which the caller must read.
 
 use std::{rc, time};
 
 use super::caller_connections::CallerConnection;
 use super::host::EntryHost;
 use super::wire::WireProtocol;
-use crate::request_boundary::HeadLimit;
+use crate::request_boundary::StreamLimits;
 
 /// Heads up to this size, in bytes, are part of the memory of their connection.
 const UNCOUNTED_BYTES: usize = 8 << 10;
@@ -16,15 +17,15 @@
 /// A head may take the configured time multiplied by this, since packets may be late.
 const TIMEOUT_FACTOR: u64 = 2;
 
-/// Counts the head that is arriving on a connection.
+/// The limits of one connection.
 #[derive(Debug)]
-pub(super) struct HeldHead<W> {
+pub(super) struct CallerStream<W> {
     host: rc::Rc<EntryHost<W>>,
     connection: rc::Rc<CallerConnection>,
 }
 
-impl<W: WireProtocol> HeldHead<W> {
-    /// The head of a connection on which nothing has arrived.
+impl<W: WireProtocol> CallerStream<W> {
+    /// The limits of a new connection.
     pub(super) const fn new(
         host: rc::Rc<EntryHost<W>>,
         connection: rc::Rc<CallerConnection>,
@@ -46,8 +47,8 @@
     }
 }
 
-impl<W: WireProtocol> HeadLimit for HeldHead<W> {
-    fn allows(&mut self, bytes: usize) -> bool {
+impl<W: WireProtocol> StreamLimits for CallerStream<W> {
+    fn allows_head(&mut self, bytes: usize) -> bool {
         if bytes <= UNCOUNTED_BYTES {
             self.connection.release();
             return true;
@@ -59,10 +60,14 @@
         is_allowed
     }
 
-    fn timeout(&self) -> time::Duration {
+    fn head_timeout(&self) -> time::Duration {
         self.host.routes().map_or(DEFAULT_TIMEOUT, |routes| {
             let limits = routes.configuration().limits;
             time::Duration::from_millis(limits.header_ms.saturating_mul(TIMEOUT_FACTOR))
         })
     }
+
+    fn on_write(&mut self, is_blocked: bool) {
+        self.connection.on_write(is_blocked, self.host.now());
+    }
 }
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -393,6 +393,7 @@
         self.on_reachability_tick();
         self.on_load_exchange_tick();
         self.handoffs.on_tick(now);
+        self.close_unread_answers(now);
         self.log_caller_limits(now);
         join::broadcast_discovered(self);
         self.log.flush();
--- a/src/entry/listen.rs
+++ b/src/entry/listen.rs
@@ -15,9 +15,9 @@
 use tokio::net::TcpListener;
 
 use super::caller_connections::{AnsweringBody, ConnectionUse, ListenerKind, OpenConnection};
+use super::caller_stream::CallerStream;
 use super::configuration::ServiceConfiguration;
 use super::departure::CallerDeparture;
-use super::held_head::HeldHead;
 use super::host::EntryHost;
 use super::peer_message::PeerFormatError;
 use super::peers::ServingHost;
@@ -175,12 +175,15 @@
         async move {
             let answer = answer.await;
             pipeline.borrow_mut().on_answer(host.now());
+            let time_left = answer.body().time_left();
+            let until = time_left.map(|left| host.now().plus(left.as_millis() as u64));
+            connection.on_answer(until);
             let answer = answer.map(|body| AnsweringBody::new(body, connection, clock));
             Ok::<_, convert::Infallible>(answer)
         }
     });
-    let head = HeldHead::new(rc::Rc::clone(&host), rc::Rc::clone(place.connection()));
-    let requests = BoundaryStream::new(stream.clone(), rc::Rc::clone(&boundary), head);
+    let limits = CallerStream::new(rc::Rc::clone(&host), rc::Rc::clone(place.connection()));
+    let requests = BoundaryStream::new(stream.clone(), rc::Rc::clone(&boundary), limits);
     let connection = builder(caller_idle_timeout(&host))
         .max_buf_size(max_head_bytes(&host))
         .serve_connection(TokioIo::new(requests), service);
--- a/src/request_boundary.rs
+++ b/src/request_boundary.rs
@@ -139,13 +139,17 @@
     }
 }
 
-/// Decides whether the head of a request may grow.
-pub trait HeadLimit {
+/// Limits what the peer of a stream may do.
+pub trait StreamLimits {
     /// Whether a head of which `bytes` have been read may go on. Called for each part of a head.
-    fn allows(&mut self, bytes: usize) -> bool;
+    fn allows_head(&mut self, bytes: usize) -> bool;
 
     /// The time that a head may take from its first byte.
-    fn timeout(&self) -> time::Duration;
+    fn head_timeout(&self) -> time::Duration;
+
+    /// Called for each write; `is_blocked` tells whether the peer took nothing, since it has not read
+    /// what was written before.
+    fn on_write(&mut self, is_blocked: bool);
 }
 
 /// Largest part that is returned by one read, in bytes. An HTTP server enlarges its buffer when a read
@@ -157,23 +161,19 @@
 pub struct BoundaryStream<L> {
     stream: SharedStream,
     boundary: rc::Rc<RequestBoundary>,
-    head_limit: L,
+    limits: L,
     /// Ends when an incomplete head has taken too long.
     head_timer: Option<pin::Pin<Box<tokio::time::Sleep>>>,
 }
 
-impl<L: HeadLimit> BoundaryStream<L> {
+impl<L: StreamLimits> BoundaryStream<L> {
     /// Reads `stream` and records its requests in `boundary`.
     #[must_use]
-    pub const fn new(
-        stream: SharedStream,
-        boundary: rc::Rc<RequestBoundary>,
-        head_limit: L,
-    ) -> Self {
+    pub const fn new(stream: SharedStream, boundary: rc::Rc<RequestBoundary>, limits: L) -> Self {
         Self {
             stream,
             boundary,
-            head_limit,
+            limits,
             head_timer: None,
         }
     }
@@ -200,7 +200,7 @@
             self.head_timer = None;
             return false;
         }
-        let timeout = self.head_limit.timeout();
+        let timeout = self.limits.head_timeout();
         let timer = self
             .head_timer
             .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
@@ -213,7 +213,7 @@
             self.head_timer = None;
             return Ok(());
         }
-        if self.head_limit.allows(head_bytes) {
+        if self.limits.allows_head(head_bytes) {
             Ok(())
         } else {
             Err(io::ErrorKind::OutOfMemory.into())
@@ -221,7 +221,7 @@
     }
 }
 
-impl<L: HeadLimit + Unpin> AsyncRead for BoundaryStream<L> {
+impl<L: StreamLimits + Unpin> AsyncRead for BoundaryStream<L> {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
@@ -252,13 +252,15 @@
     }
 }
 
-impl<L: Unpin> AsyncWrite for BoundaryStream<L> {
+impl<L: StreamLimits + Unpin> AsyncWrite for BoundaryStream<L> {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         buf: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = pin::Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.limits.on_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -266,7 +268,9 @@
         cx: &mut task::Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.limits.on_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
