Count answers that callers have not read for the memory of callers

120 callers that asked for answers of 1 MB and read nothing made a host use 132 MB of 64 (132,652 and 132,708 KB).

Cause: an answer up to 1 MiB is read completely before its caller gets any of it, and stays in memory until the caller has read it. Its server's slot is free by then, so that any number of them pile up. The crowd announces small segments, as on a slow link: the system's send buffer then takes little of an answer.

Answers beyond 16 KB are counted until their last byte is written to the caller. When there is no memory, an answer is passed on while it arrives, so that it holds no more than its connection and ends at its deadline. While less than a quarter is free, connections whose callers take nothing are closed after 1 s instead of 10 s.

callers_do_not_read_buffered_answers failed before and passes.

--- a/src/entry/arriving_bodies.rs
+++ b/src/entry/arriving_bodies.rs
@@ -120,7 +120,7 @@
 impl ArrivingBody {
     /// The number of bytes that have arrived; `None` if it has yielded.
     #[must_use]
-    pub fn len(&self) -> Option<usize> {
+    pub fn arrived_bytes(&self) -> Option<usize> {
         let content = self.state.content.borrow();
         content.as_ref().map(|content| content.buffer.len())
     }
--- a/src/entry/body_reader.rs
+++ b/src/entry/body_reader.rs
@@ -77,7 +77,7 @@
     max_bytes: u64,
 ) -> Result<(), RequestFailure> {
     loop {
-        let length = arriving.len().ok_or(RequestFailure::NO_MEMORY)?;
+        let length = arriving.arrived_bytes().ok_or(RequestFailure::NO_MEMORY)?;
         let length = (length + piece.len()) as u64;
         if length > max_bytes {
             return Err(RequestFailure::BODY_TOO_LARGE);
--- a/src/entry/caller_connections.rs
+++ b/src/entry/caller_connections.rs
@@ -19,7 +19,11 @@
 const OVERDUE_MARGIN_MS: u64 = 200;
 /// Time in which a caller must read something of a complete answer, in milliseconds. It is longer
 /// than the usual deadlines.
-const MAX_BLOCKED_MS: u64 = 10_000;
+pub const MAX_BLOCKED_MS: u64 = 10_000;
+/// The same while the memory for callers is short.
+const MAX_BLOCKED_SHORT_MS: u64 = 1_000;
+/// Memory is short when less than the limit divided by this is free.
+const SHORT_MEMORY_DIVISOR: u64 = 4;
 /// A connection whose request is still arriving keeps its place for this time, in milliseconds.
 const MIN_READING_MS: u64 = 1_000;
 
@@ -93,7 +97,14 @@
     /// Closes the connections whose callers have not read their answers in time.
     pub(super) fn close_unread_answers(&self, now: Moment) {
         let requests = &self.connections.tables[ListenerKind::Requests as usize];
-        let count = requests.close_unread(now);
+        let limit = self.large_memory_limit();
+        let is_short = self.caller_memory.held() > limit - limit / SHORT_MEMORY_DIVISOR;
+        let max_blocked_ms = if is_short {
+            MAX_BLOCKED_SHORT_MS
+        } else {
+            MAX_BLOCKED_MS
+        };
+        let count = requests.close_unread(max_blocked_ms, now);
         self.metrics.borrow_mut().callers.answers_unread += count;
     }
 
@@ -192,22 +203,23 @@
         self.connections.borrow().len()
     }
 
-    /// Closes the connections whose callers have not read their answers in time; returns their number.
+    /// Closes the connections whose callers have not read their answers in time, or have taken nothing
+    /// of a complete one for `max_blocked_ms`, in milliseconds; returns their number.
     ///
     /// ```
-    /// use ledgespool::entry::caller_connections::ConnectionTable;
+    /// use ledgespool::entry::caller_connections::{ConnectionTable, MAX_BLOCKED_MS};
     /// use ledgespool::timer::Moment;
     /// let table = ConnectionTable::default();
     /// let place = table.admit(9, Moment(0)).expect("a place");
     /// place.connection().on_answer(Some(Moment(3_000)));
-    /// assert_eq!(table.close_unread(Moment(3_000)), 0);
-    /// assert_eq!(table.close_unread(Moment(3_300)), 1);
+    /// assert_eq!(table.close_unread(MAX_BLOCKED_MS, Moment(3_000)), 0);
+    /// assert_eq!(table.close_unread(MAX_BLOCKED_MS, Moment(3_300)), 1);
     /// assert!(place.is_closed());
     /// ```
-    pub fn close_unread(&self, now: Moment) -> u64 {
+    pub fn close_unread(&self, max_blocked_ms: u64, now: Moment) -> u64 {
         let mut count = 0;
         self.connections.borrow_mut().retain(|_, connection| {
-            let is_unread = connection.is_unread(now);
+            let is_unread = connection.is_unread(max_blocked_ms, now);
             if is_unread {
                 connection.close();
                 count += 1;
@@ -271,10 +283,10 @@
     }
 
     /// Whether the caller has not read its answer in time.
-    fn is_unread(&self, now: Moment) -> bool {
+    fn is_unread(&self, max_blocked_ms: u64, now: Moment) -> bool {
         match (self.answer_until.get(), self.blocked_since.get()) {
             (Some(until), _) => now >= until.plus(OVERDUE_MARGIN_MS),
-            (None, Some(since)) => now.since(since) >= MAX_BLOCKED_MS,
+            (None, Some(since)) => now.since(since) >= max_blocked_ms,
             (None, None) => false,
         }
     }
@@ -283,13 +295,11 @@
     /// returns whether they are counted.
     pub fn try_hold(&self, bytes: u64, account: &ByteAccount, limit: u64) -> bool {
         let mut held = self.held.borrow_mut();
-        match held.as_mut() {
-            Some(held) => held.try_grow(bytes.saturating_sub(held.bytes()), limit),
-            None => {
-                *held = account.try_hold(bytes, limit);
-                held.is_some()
-            }
+        if let Some(held) = held.as_mut() {
+            return held.try_grow(bytes.saturating_sub(held.bytes()), limit);
         }
+        *held = account.try_hold(bytes, limit);
+        held.is_some()
     }
 
     /// Gives back what [`Self::try_hold`] has counted.
--- a/src/entry/caller_metrics.rs
+++ b/src/entry/caller_metrics.rs
@@ -34,6 +34,8 @@
     pub connections_refused: u64,
     /// Connections closed because their callers did not read their answers in time.
     pub answers_unread: u64,
+    /// Answers passed on while they arrived because there was no memory to complete them first.
+    pub answers_unbuffered: u64,
     /// Connections that could not be accepted, for example for lack of descriptors.
     pub accepts_failed: u64,
     reported: ReportedCounts,
@@ -55,6 +57,8 @@
     pub connections_refused: u64,
     /// See [`CallerCounters::answers_unread`].
     pub answers_unread: u64,
+    /// See [`CallerCounters::answers_unbuffered`].
+    pub answers_unbuffered: u64,
     /// See [`CallerCounters::accepts_failed`].
     pub accepts_failed: u64,
 }
@@ -80,6 +84,7 @@
             connections_closed: self.connections_closed,
             connections_refused: self.connections_refused,
             answers_unread: self.answers_unread,
+            answers_unbuffered: self.answers_unbuffered,
             accepts_failed: self.accepts_failed,
         }
     }
@@ -94,6 +99,8 @@
         let refused = self.connections_refused;
         page.value("ledgespool_accepted_connections_refused_total", refused);
         page.value("ledgespool_answers_unread_total", self.answers_unread);
+        let unbuffered = self.answers_unbuffered;
+        page.value("ledgespool_answers_unbuffered_total", unbuffered);
         page.value("ledgespool_accepts_failed_total", self.accepts_failed);
         let limit = held.connections_limit as u64;
         page.value("ledgespool_accepted_connections_limit", limit);
@@ -115,6 +122,7 @@
             connections_closed: self.connections_closed - earlier.connections_closed,
             connections_refused: self.connections_refused - earlier.connections_refused,
             answers_unread: self.answers_unread - earlier.answers_unread,
+            answers_unbuffered: self.answers_unbuffered - earlier.answers_unbuffered,
             accepts_failed: self.accepts_failed - earlier.accepts_failed,
         }
     }
--- a/src/entry/caller_stream.rs
+++ b/src/entry/caller_stream.rs
@@ -35,7 +35,7 @@
 
     fn try_hold(&self, bytes: u64) -> bool {
         let host = &self.host;
-        let limit = host.head_memory_limit();
+        let limit = host.large_memory_limit();
         loop {
             if self.connection.try_hold(bytes, &host.caller_memory, limit) {
                 return true;
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -173,7 +173,7 @@
     body: Incoming,
 ) -> HandoffOutcome {
     head.headers.remove(HANDOFF_HEADER);
-    let Ok((buffered, remaining)) = server_answer::read_start(body).await else {
+    let Ok((buffered, remaining)) = server_answer::read_start(host, body).await else {
         return HandoffOutcome::Lost(LossCause::Truncated);
     };
     let remaining = if let Some(remaining) = remaining {
--- a/src/entry/host.rs
+++ b/src/entry/host.rs
@@ -206,8 +206,9 @@
         self.caller_limits().memory(self.max_body_bytes())
     }
 
-    /// The memory up to which heads of requests may grow, in bytes. The rest is for small bodies.
-    pub(super) fn head_memory_limit(&self) -> u64 {
+    /// The memory up to which heads, large bodies and answers are held, in bytes. The rest is for
+    /// small bodies.
+    pub(super) fn large_memory_limit(&self) -> u64 {
         let max_body_bytes = self.max_body_bytes();
         self.caller_limits().memory_for(u64::MAX, max_body_bytes)
     }
--- a/src/entry/open_request.rs
+++ b/src/entry/open_request.rs
@@ -192,7 +192,7 @@
         let forward = &self.forward;
         let customer = self.customer.as_ref();
         let site = forward.headers.get(http::header::HOST);
-        let body: Vec<&[u8]> = forward.body.parts().map(|part| &part[..]).collect();
+        let body: Vec<&[u8]> = forward.body.parts().map(AsRef::as_ref).collect();
         let content = RequestContent {
             customer: customer.map_or("", |customer| &customer.name),
             method: forward.method.as_str(),
--- a/src/entry/server_answer.rs
+++ b/src/entry/server_answer.rs
@@ -11,10 +11,13 @@
 use super::host::EntryHost;
 use super::server_connection::ServerConnection;
 use super::wire::WireProtocol;
+use crate::byte_account::HeldBytes;
 
 /// Answers up to this size, in bytes, are buffered completely before the caller gets any byte, so
 /// that a truncated one can be retried on another server. The largest usual download is half of it.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
+/// Answers up to this size, in bytes, are part of the memory of their connection.
+const UNCOUNTED_ANSWER_BYTES: usize = 16 << 10;
 /// How long the body of a refusal may take before its connection is closed.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -37,7 +40,7 @@
     head: http::response::Parts,
     body: Incoming,
 ) -> AttemptOutcome {
-    let Ok((buffered, remaining)) = read_start(body).await else {
+    let Ok((buffered, remaining)) = read_start(host, body).await else {
         return AttemptOutcome::Lost(LossCause::Truncated);
     };
     let remaining = if let Some(remaining) = remaining {
@@ -54,25 +57,72 @@
 }
 
 /// Reads a small answer completely and the first part of a large one. Returns what was read, and
-/// the body if there is more.
+/// the body if there may be more. The first part is shorter if there is no memory for it.
 ///
 /// # Errors
 /// When the connection breaks within the answer.
-pub(super) async fn read_start(
+pub(super) async fn read_start<W: WireProtocol>(
+    host: &EntryHost<W>,
     mut body: Incoming,
 ) -> Result<(Bytes, Option<Incoming>), hyper::Error> {
-    let mut buffered = BytesMut::new();
-    while buffered.len() <= MAX_BUFFERED_ANSWER_BYTES {
-        match body.frame().await {
-            Some(frame) => {
-                if let Ok(data) = frame?.into_data() {
-                    buffered.extend_from_slice(&data);
-                }
-            }
-            None => return Ok((buffered.freeze(), None)),
+    let mut buffer = AnswerBuffer::default();
+    while buffer.bytes.len() <= MAX_BUFFERED_ANSWER_BYTES {
+        let Some(frame) = body.frame().await else {
+            return Ok((buffer.into_bytes(), None));
+        };
+        if let Ok(data) = frame?.into_data()
+            && !buffer.push(host, &data)
+        {
+            host.metrics.borrow_mut().callers.answers_unbuffered += 1;
+            break;
+        }
+    }
+    Ok((buffer.into_bytes(), Some(body)))
+}
+
+/// The part of an answer that has been read.
+#[derive(Debug, Default)]
+struct AnswerBuffer {
+    bytes: BytesMut,
+    held: Option<HeldBytes>,
+}
+
+/// Bytes that are counted until they have been written to the caller.
+#[derive(Debug)]
+struct CountedBytes {
+    bytes: Bytes,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl AnswerBuffer {
+    /// Adds a piece; returns whether there is memory for more.
+    fn push<W: WireProtocol>(&mut self, host: &EntryHost<W>, piece: &[u8]) -> bool {
+        self.bytes.extend_from_slice(piece);
+        let bytes = self.bytes.len();
+        if bytes <= UNCOUNTED_ANSWER_BYTES {
+            return true;
+        }
+        let limit = host.large_memory_limit();
+        if let Some(held) = &mut self.held {
+            return held.try_grow(piece.len() as u64, limit);
+        }
+        self.held = host.caller_memory.try_hold(bytes as u64, limit);
+        self.held.is_some()
+    }
+
+    fn into_bytes(self) -> Bytes {
+        let bytes = self.bytes.freeze();
+        match self.held {
+            Some(held) => Bytes::from_owner(CountedBytes { bytes, _held: held }),
+            None => bytes,
         }
     }
-    Ok((buffered.freeze(), Some(body)))
 }
 
 /// Reads and discards the small body of a refusal, so that the connection can be reused. The outcome
