Heads behind a chunked body count for the memory of callers

256 connections that each sent a request with a chunked body and then an incomplete head of 110 KB took 71 to 73 MB of a host of 64, together with 40 large bodies.

Cause: after a chunked body the boundaries of a connection's requests are not known, so that later heads were neither counted nor timed from their first byte.

Where the boundaries are not known, bytes that come while the connection is idle belong to a head.

A body that begins is given a count of nothing instead of an optional one.

--- a/src/byte_account.rs
+++ b/src/byte_account.rs
@@ -28,13 +28,19 @@
         self.held.load(Ordering::Relaxed)
     }
 
-    /// Counts `bytes` until the value is dropped; `None` if more than `limit` would be held.
+    /// A value that counts nothing yet.
     #[must_use]
-    pub fn try_hold(&self, bytes: u64, limit: u64) -> Option<HeldBytes> {
-        let mut held = HeldBytes {
+    pub fn hold_none(&self) -> HeldBytes {
+        HeldBytes {
             account: self.clone(),
             bytes: 0,
-        };
+        }
+    }
+
+    /// Counts `bytes` until the value is dropped; `None` if more than `limit` would be held.
+    #[must_use]
+    pub fn try_hold(&self, bytes: u64, limit: u64) -> Option<HeldBytes> {
+        let mut held = self.hold_none();
         held.try_grow(bytes, limit).then_some(held)
     }
 }
--- a/src/entry/arriving_bodies.rs
+++ b/src/entry/arriving_bodies.rs
@@ -59,14 +59,13 @@
     #[must_use]
     pub fn begin(&self, stated: Option<usize>, account: &ByteAccount, now: Moment) -> ArrivingBody {
         let number = self.next.replace(self.next.get() + 1);
-        let held = account.try_hold(0, u64::MAX);
-        let content = held.map(|held| BodyContent {
+        let content = BodyContent {
             buffer: BodyBuffer::with_length(stated),
-            held,
-        });
+            held: account.hold_none(),
+        };
         let state = rc::Rc::new(BodyState {
             began: now,
-            content: cell::RefCell::new(content),
+            content: cell::RefCell::new(Some(content)),
             yielded: Notify::new(),
         });
         let mut bodies = self.bodies.borrow_mut();
--- a/src/entry/caller_connections.rs
+++ b/src/entry/caller_connections.rs
@@ -233,9 +233,9 @@
     /// there is one.
     pub fn close_holder(&self) -> bool {
         let connections = self.connections.borrow();
-        let holders = connections.iter().filter(|(_, connection)| {
-            connection.current.get() == ConnectionUse::Idle && connection.held.borrow().is_some()
-        });
+        let holders = connections
+            .iter()
+            .filter(|(_, connection)| connection.is_idle() && connection.held.borrow().is_some());
         let oldest = holders.min_by_key(|(_, connection)| connection.since.get());
         let oldest = oldest.map(|(number, connection)| (*number, rc::Rc::clone(connection)));
         drop(connections);
@@ -271,6 +271,12 @@
         self.answer_until.set(None);
     }
 
+    /// Whether no request has begun.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.current.get() == ConnectionUse::Idle
+    }
+
     /// Records that an answer begins, which must end by `until`.
     pub fn on_answer(&self, until: Option<Moment>) {
         self.answer_until.set(until);
--- a/src/entry/caller_stream.rs
+++ b/src/entry/caller_stream.rs
@@ -67,6 +67,10 @@
         })
     }
 
+    fn is_idle(&self) -> bool {
+        self.connection.is_idle()
+    }
+
     fn on_write(&mut self, is_blocked: bool) {
         self.connection.on_write(is_blocked, self.host.now());
     }
--- a/src/request_boundary.rs
+++ b/src/request_boundary.rs
@@ -44,6 +44,7 @@
     /// Records that the next request begins. `body_length` is that of its body, in bytes; `None` if
     /// it has no stated length.
     pub fn on_request(&self, body_length: Option<u64>) {
+        self.head_bytes.set(0);
         let waiting = self.waiting_heads.get();
         self.waiting_heads.set(waiting.saturating_sub(1));
         if self.part.get() == ReadPart::AfterHead {
@@ -106,7 +107,20 @@
     }
 
     fn is_within_head(&self) -> bool {
-        matches!(self.part.get(), ReadPart::Head { .. })
+        match self.part.get() {
+            ReadPart::Head { .. } => true,
+            ReadPart::Unknown => self.head_bytes.get() > 0,
+            _ => false,
+        }
+    }
+
+    /// Counts bytes that were passed on. Where the boundaries are not known, those that come while the
+    /// connection is idle belong to a head.
+    fn count_unknown(&self, bytes: usize, is_idle: bool) {
+        if self.part.get() == ReadPart::Unknown {
+            let head_bytes = self.head_bytes.get() + bytes;
+            self.head_bytes.set(if is_idle { head_bytes } else { 0 });
+        }
     }
 
     fn take_head(&self, bytes: &[u8]) -> usize {
@@ -147,6 +161,9 @@
     /// The time that a head may take from its first byte.
     fn head_timeout(&self) -> time::Duration;
 
+    /// Whether no request of the connection is being read or answered.
+    fn is_idle(&self) -> bool;
+
     /// Called for each write; `is_blocked` tells whether the peer took nothing, since it has not read
     /// what was written before.
     fn on_write(&mut self, is_blocked: bool);
@@ -246,6 +263,7 @@
         let taken = boundary.take_part(&buf.filled()[before..]);
         rest.extend_from_slice(&buf.filled()[before + taken..]);
         buf.set_filled(before + taken);
+        boundary.count_unknown(taken, self.limits.is_idle());
         task::Poll::Ready(self.check_head())
     }
 }
