Reject answers in a transfer coding that nobody asked for

Callers saw: a server's answer with `Transfer-Encoding: chunke` (or gzip, identity, empty, a second coding after chunked) was a complete 200 whose body held the chunk sizes. Where the server kept the connection open, callers got 504 at the timeout. A 503 with `Not-Executed` in such a head was believed. With a length beside the coding the length was passed on before a longer body; a debug build panicked in hyper's server. The store's 404 in such a head meant "absent", and its page "no entries".

Cause: hyper reads a body in an unknown coding up to the end of the connection (RFC 9112, section 6.3). No request of a host asks for a coding, so the only one that an answer can have is `chunked`, and the length of any other body is unknown.

Change: every connection on which answers are read (servers, other hosts, the store, the own interface's servers) sends its requests through `ClientSender`, which checks the head before anybody reads it. Such an answer is lost at once: a request that may run twice goes to another server, one that may run once gets 502, and neither a promise nor a statement about the server is taken from the head.

Why it holds: the check is at the only place where heads arrive, and depends on nothing but the head.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -12,6 +12,7 @@
 use super::server_connection::{SendTrace, ServerConnection};
 use super::server_limit::token::SendToken;
 use super::wire::WireProtocol;
+use crate::client_sender::SendFault;
 use crate::request_body::RequestBody;
 use crate::timer::{BootClock, Moment};
 
@@ -69,6 +70,8 @@
     Broken,
     /// The service became unreachable before an answer.
     Unreachable,
+    /// The answer's head leaves the length of its body unknown.
+    Framing,
     /// The connection broke within the answer.
     Truncated,
     /// The answer carries the id of another request.
@@ -90,6 +93,7 @@
         match self {
             Self::Broken => "the connection broke before an answer",
             Self::Unreachable => "the service became unreachable before an answer",
+            Self::Framing => "the length of the answer is unknown",
             Self::Truncated => "the answer broke off",
             Self::WrongRequest => "the answer belongs to another request",
             Self::NoRequestId => "the answer carries no request id",
@@ -272,20 +276,19 @@
             return AttemptOutcome::Lost(LossCause::Unreachable);
         }
     };
-    let (head, body) = match written {
-        Ok(answer) => {
-            wait.on_answered(host.now());
-            if is_new {
-                host.on_server_connected(server);
-            }
-            answer.into_parts()
+    if !matches!(written, Err(SendFault::NotSent | SendFault::Broken)) {
+        wait.on_answered(host.now());
+        if is_new {
+            host.on_server_connected(server);
         }
-        Err(mut fault) => {
-            return if fault.take_message().is_some() {
-                AttemptOutcome::NotSent
-            } else {
-                AttemptOutcome::Lost(LossCause::Broken)
-            };
+    }
+    let (head, body) = match written {
+        Ok(answer) => answer.into_parts(),
+        Err(SendFault::NotSent) => return AttemptOutcome::NotSent,
+        Err(SendFault::Broken) => return AttemptOutcome::Lost(LossCause::Broken),
+        Err(SendFault::Framing(_)) => {
+            host.metrics.borrow_mut().answers_dropped += 1;
+            return AttemptOutcome::Lost(LossCause::Framing);
         }
     };
     let sent = SentRequest {
--- a/src/entry/handoff/peer_connections.rs
+++ b/src/entry/handoff/peer_connections.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net};
 
-use crate::http_client::ClientSender;
+use crate::client_sender::ClientSender;
 use crate::timer::Moment;
 
 /// Idle time after which a connection is closed, in milliseconds.
--- a/src/entry/handoff/role.rs
+++ b/src/entry/handoff/role.rs
@@ -3,11 +3,11 @@
 use std::{cell, collections, net, rc};
 
 use super::peer_connections::PeerConnections;
+use crate::client_sender::ClientSender;
 use crate::entry::host::EntryHost;
 use crate::entry::open_request::OpenRequest;
 use crate::entry::peers::{HandoffQuery, HandoffTarget};
 use crate::entry::wire::WireProtocol;
-use crate::http_client::ClientSender;
 use crate::timer::Moment;
 
 /// Maximum number of requests that one host hands over to another at the same time.
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -9,6 +9,7 @@
 use super::message::{
     ANSWER, FAILURE, HANDOFF_HEADER, HandoffFailure, HandoffHead, HandoffRequest,
 };
+use crate::client_sender::ClientSender;
 use crate::entry::exchange::LossCause;
 use crate::entry::host::EntryHost;
 use crate::entry::open_request::OpenRequest;
@@ -18,7 +19,7 @@
 use crate::entry::server_answer::{self, ServerAnswer};
 use crate::entry::server_connection::{ConnectionRecord, ServerConnection};
 use crate::entry::wire::WireProtocol;
-use crate::http_client::{self, ClientSender, ExchangeFault};
+use crate::http_client::{self, ExchangeFault};
 use crate::request_body::RequestBody;
 use crate::tcp_keepalive::ProbeStart;
 
--- a/src/entry/join_client.rs
+++ b/src/entry/join_client.rs
@@ -23,8 +23,9 @@
 use super::peer_message::{self, JoinAnswer, PeerHeartbeat, PeerSnapshot};
 use super::store::{ObjectStore, StoreFault};
 use super::wire::WireProtocol;
+use crate::client_sender::ClientSender;
 use crate::event::EventCode;
-use crate::http_client::{self, ClientSender};
+use crate::http_client;
 use crate::request_body::RequestBody;
 
 /// The longest pause between two rounds of join requests, in milliseconds; the shortest is half of
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -2,11 +2,9 @@
 
 use std::{collections, net, time};
 
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-
 use super::fleet_server::FleetServer;
 use super::server_connection::{ConnectionRecord, ServerConnection};
+use crate::client_sender::ClientSender;
 use crate::tcp_close;
 use crate::tcp_keepalive::{self, ProbeStart};
 use crate::timer::Moment;
@@ -19,8 +17,6 @@
 /// Longest idle time of a connection that may carry a request which must not run twice, in
 /// milliseconds. If a connection breaks during the write, it is unknown whether the request ran.
 const MAX_FRESH_IDLE_MS: u64 = 2_000;
-/// Largest head of an answer, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Maximum number of idle connections per server.
 const MAX_IDLE_PER_SERVER: usize = 8;
 
@@ -153,16 +149,9 @@
         Ok(Err(_)) | Err(_) => return Err(ConnectFault::Unreachable),
     };
     let local_port = stream.local_addr().map_or(0, |address| address.port());
-    let mut builder = http1::Builder::new();
-    builder.max_buf_size(MAX_HEAD_BYTES);
-    let handshake = builder.handshake(TokioIo::new(stream)).await;
-    let Ok((sender, connection)) = handshake else {
+    let Ok(sender) = ClientSender::handshake(stream).await else {
         return Err(ConnectFault::Unreachable);
     };
-    tokio::spawn(async move {
-        // A broken connection shows up as an error of the request that uses it.
-        let _outcome = connection.await;
-    });
     Ok(ServerConnection {
         sender,
         record: ConnectionRecord::new(local_port),
--- a/src/entry/send_gate.rs
+++ b/src/entry/send_gate.rs
@@ -5,15 +5,14 @@
 //! [`SendPermit`], which checks the state again.
 
 use hyper::body::Incoming;
-use hyper::client::conn;
 use serde_json::json;
 
 use super::fleet_server::FleetServer;
 use super::host::EntryHost;
-use super::server_connection::ServerSender;
 use super::server_limit::token::SendToken;
 use super::server_notice::ServerAvailability;
 use super::wire::WireProtocol;
+use crate::client_sender::{ClientSender, SendFault};
 use crate::event::EventCode;
 use crate::request_body::RequestBody;
 
@@ -76,12 +75,12 @@
     /// Writes the request and waits for the head of the answer.
     ///
     /// # Errors
-    /// When the connection breaks. The error returns the message if no part of it was written.
+    /// When no answer arrives that can be read.
     pub(super) async fn write(
         self,
-        sender: &mut ServerSender,
+        sender: &mut ClientSender,
         message: ServerMessage,
-    ) -> Result<http::Response<Incoming>, conn::TrySendError<ServerMessage>> {
+    ) -> Result<http::Response<Incoming>, SendFault> {
         sender.try_send_request(message).await
     }
 }
--- a/src/entry/server_connection.rs
+++ b/src/entry/server_connection.rs
@@ -5,19 +5,14 @@
 //! never carries an id twice: a copy of a rejection would state that the second request did not run,
 //! while the server runs it.
 
-use hyper::client::conn::http1;
-
 use super::hash;
-use crate::request_body::RequestBody;
-
-/// The sending half of a connection.
-pub type ServerSender = http1::SendRequest<RequestBody>;
+use crate::client_sender::ClientSender;
 
 /// A connection to a backend server.
 #[derive(Debug)]
 pub struct ServerConnection {
     /// The sending half.
-    pub sender: ServerSender,
+    pub sender: ClientSender,
     /// What was sent over it.
     pub record: ConnectionRecord,
 }
--- a/src/http_client.rs
+++ b/src/http_client.rs
@@ -5,19 +5,12 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 
+use crate::client_sender::{ClientSender, SendFault};
 use crate::request_body::RequestBody;
 use crate::tcp_close;
 use crate::tcp_keepalive::{self, ProbeStart};
 
-/// The largest response head, in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-
-/// The sending half of a client connection.
-pub type ClientSender = http1::SendRequest<RequestBody>;
-
 /// Why an exchange failed, by whether the request may have reached the server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeFault {
@@ -27,6 +20,15 @@
     Lost,
 }
 
+impl From<SendFault> for ExchangeFault {
+    fn from(fault: SendFault) -> Self {
+        match fault {
+            SendFault::NotSent => Self::NotSent,
+            SendFault::Broken | SendFault::Framing(_) => Self::Lost,
+        }
+    }
+}
+
 /// Opens a connection, whose driver runs as a task until the connection closes.
 ///
 /// TCP keepalive is on, because a response may take long, as that of a watch does.
@@ -54,18 +56,10 @@
         stream.set_nodelay(true).ok()?;
         tcp_keepalive::enable(&stream, probes).ok()?;
         tcp_close::discard_unsent(&stream).ok()?;
-        let builder = http1::Builder::new()
-            .max_buf_size(MAX_HEAD_BYTES)
-            .to_owned();
-        builder.handshake(TokioIo::new(stream)).await.ok()
+        ClientSender::handshake(stream).await.ok()
     };
     let opened = tokio::time::timeout(timeout, opening).await;
-    let (sender, connection) = opened.ok().flatten().ok_or(ExchangeFault::NotSent)?;
-    tokio::spawn(async move {
-        // A broken connection fails the sender's own request.
-        let _outcome = connection.await;
-    });
-    Ok(sender)
+    opened.ok().flatten().ok_or(ExchangeFault::NotSent)
 }
 
 /// A whole small response.
@@ -105,14 +99,7 @@
     sender: &mut ClientSender,
     request: http::Request<RequestBody>,
 ) -> Result<http::Response<Incoming>, ExchangeFault> {
-    let answer = sender.try_send_request(request).await;
-    answer.map_err(|mut fault| {
-        if fault.take_message().is_some() {
-            ExchangeFault::NotSent
-        } else {
-            ExchangeFault::Lost
-        }
-    })
+    Ok(sender.try_send_request(request).await?)
 }
 
 /// Sends one request on an open connection and reads the whole response.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,11 +6,13 @@
 pub mod allocation;
 pub mod auth;
 pub mod block_map;
+pub mod body_framing;
 pub mod budget;
 pub mod byte_account;
 pub mod catalogue;
 pub mod claim;
 pub mod claim_role;
+pub mod client_sender;
 pub mod config_object;
 pub mod config_role;
 mod connection_headers;
--- a/src/platform_client.rs
+++ b/src/platform_client.rs
@@ -11,7 +11,8 @@
 
 use bytes::Bytes;
 
-use crate::http_client::{self, ClientSender, ExchangeFault, SmallAnswer};
+use crate::client_sender::ClientSender;
+use crate::http_client::{self, ExchangeFault, SmallAnswer};
 use crate::plan;
 use crate::platform_call::{
     ObjectName, PlatformCall, PlatformReply, ReadResult, WatchReply, WriteResult,
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -44,6 +44,8 @@
     pub truncate: bool,
     /// Answers with the id and content of another request.
     pub mix_up: bool,
+    /// Claims a transfer coding that no request asked for.
+    pub other_coding: bool,
     /// Sheds every request.
     pub shedding: bool,
     /// Reports this load minus one instead of the true load; 0 reports the true load.
@@ -285,7 +287,11 @@
             pause: None,
         };
         let mut response = self.head(status, &id, faults, body.boxed_unsync());
-        if let Ok(length) = http::HeaderValue::from_str(&length.to_string()) {
+        if faults.other_coding {
+            let coding = http::HeaderValue::from_static("gzip, chunked");
+            let headers = response.headers_mut();
+            headers.insert(http::header::TRANSFER_ENCODING, coding);
+        } else if let Ok(length) = http::HeaderValue::from_str(&length.to_string()) {
             response
                 .headers_mut()
                 .insert(http::header::CONTENT_LENGTH, length);
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -4,7 +4,8 @@
 use std::{collections, net, time};
 
 use super::backend;
-use crate::http_client::{self, ClientSender, SmallAnswer};
+use crate::client_sender::ClientSender;
+use crate::http_client::{self, SmallAnswer};
 use crate::lookup::LookupAnswer;
 use crate::request_body::RequestBody;
 use crate::result_code::{RequestOutcome, ResultCode};
--- a/src/worker/attempt.rs
+++ b/src/worker/attempt.rs
@@ -13,6 +13,7 @@
 use super::incoming::CallerRequest;
 use super::pool::PooledConnection;
 use super::{WorkerState, with_worker};
+use crate::client_sender::SendFault;
 use crate::connection_headers;
 use crate::control_message::ControlInput;
 use crate::event::EventCode;
@@ -91,12 +92,16 @@
             admitted.end_attempt(AttemptResult::Failure, None);
             Err(AttemptFault::Unknown(ResultCode::DeadlinePassed))
         }
-        Ok(Err(mut fault)) => {
+        Ok(Err(fault)) => {
             admitted.end_attempt(AttemptResult::Failure, None);
-            if fault.take_message().is_some() {
-                return Err(AttemptFault::NotRun(ResultCode::ConnectFailed));
-            }
-            Err(AttemptFault::Unknown(ResultCode::AnswerLost))
+            Err(match fault {
+                SendFault::NotSent => AttemptFault::NotRun(ResultCode::ConnectFailed),
+                SendFault::Broken => AttemptFault::Unknown(ResultCode::AnswerLost),
+                SendFault::Framing(_) => {
+                    log_dropped(request);
+                    AttemptFault::Unknown(ResultCode::AnswerInvalid)
+                }
+            })
         }
         Ok(Ok(response)) => {
             let (parts, body) = response.into_parts();
@@ -171,11 +176,7 @@
         report_leaving_server(&admitted.admission);
     }
     if !is_answer_to(request, parts, connection) {
-        with_worker(|worker| {
-            worker
-                .events
-                .write(EventCode::AnswerDropped, request.id.clone());
-        });
+        log_dropped(request);
         admitted.end_attempt(AttemptResult::Failure, None);
         return Err(AttemptFault::Unknown(ResultCode::AnswerInvalid));
     }
@@ -196,6 +197,14 @@
     Ok(())
 }
 
+fn log_dropped(request: &CallerRequest) {
+    with_worker(|worker| {
+        worker
+            .events
+            .write(EventCode::AnswerDropped, request.id.clone());
+    });
+}
+
 /// Whether the answer carries this request's id. An answer without an id is accepted on a
 /// connection that was not used before, since it can't belong to another request.
 fn is_answer_to(
--- a/src/worker/pool.rs
+++ b/src/worker/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net};
 
-use crate::http_client::ClientSender;
+use crate::client_sender::ClientSender;
 
 /// Idle connections retained for each server.
 const MAX_IDLE_PER_SERVER: usize = 16;
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -222,7 +222,8 @@
     );
 }
 
-/// The server answers with another request's id, truncates its answers, or omits the id.
+/// The server answers with another request's id, truncates its answers, omits the id, or claims an
+/// unknown transfer coding.
 #[tokio::test]
 async fn truncated_or_foreign_answers_never_count_as_whole() {
     use ledgespool::standin::backend::BackendFaults;
@@ -249,6 +250,13 @@
                 ..BackendFaults::default()
             },
         ),
+        (
+            "other-coding",
+            BackendFaults {
+                other_coding: true,
+                ..BackendFaults::default()
+            },
+        ),
         (
             "nameless",
             BackendFaults {
@@ -275,13 +283,9 @@
                 Some(RequestOutcome::NotRun),
                 "{name}: it was run"
             );
-            if name == "mix-up" {
+            if ["mix-up", "other-coding"].contains(&name) {
                 let outcome = result.outcome;
-                assert_eq!(
-                    outcome,
-                    Some(RequestOutcome::Unknown),
-                    "the answer to another request is dropped"
-                );
+                assert_eq!(outcome, Some(RequestOutcome::Unknown), "{name}: dropped");
             }
             let result = caller
                 .send_to(
