--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -62,6 +62,13 @@
     );
 }
 
+#[test]
+fn a_length_beside_chunks_is_no_answer() {
+    assert_no_answer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+    );
+}
+
 /// Bodies are not searched, nor is the line end of one head taken for that of the next.
 #[test]
 fn a_connection_carries_several_answers_with_line_feeds_in_their_bodies() {
