Check the stated length of answers without a body as well

Callers saw: `Content-Length: x`, `5, 6`, `-1` or an empty one of a server's answer to HEAD was passed on as it is, a head that a caller cannot read; with two different fields a debug build gave no answer. A 204 or 304 with such a field was taken for an answer.

Cause: the length is parsed only to read a body. Where none follows nobody looks at it, although it shows that the head is spoilt, and it is passed on.

Change: the check of heads reads the length itself. The same number stated several times is one length (RFC 9110, section 8.6), anything else is no answer.

Why it holds: the check depends on no status and no method.

--- a/src/body_framing.rs
+++ b/src/body_framing.rs
@@ -1,7 +1,8 @@
 //! Checks what the head of an answer states about the length of its body (RFC 9112, section 6).
 //!
 //! A lenient reader takes all bytes up to the end of the connection for the body of an answer in an
-//! unknown transfer coding, also those that frame it, and passes over a length beside a coding.
+//! unknown transfer coding, also those that frame it, and passes over a length beside a coding or
+//! where no body follows.
 
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -12,6 +13,9 @@
     /// No request asks for a transfer coding, so only `chunked` is possible.
     #[error("the transfer coding is not \"chunked\"")]
     OtherCoding,
+    /// The length is no number, or there are several.
+    #[error("the stated length is not one number")]
+    InvalidLength,
     /// A server must not send both; one of them is wrong.
     #[error("a length is stated beside the transfer coding")]
     LengthBesideCoding,
@@ -23,25 +27,71 @@
 /// Why the length of the body is unknown.
 ///
 /// ```
+/// use http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
 /// use http::HeaderMap;
-/// use http::header::{HeaderValue, TRANSFER_ENCODING};
 /// use ledgespool::body_framing::{self, FramingFault};
 /// let mut headers = HeaderMap::new();
 /// assert_eq!(body_framing::check(&headers), Ok(()));
 /// headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
 /// assert_eq!(body_framing::check(&headers), Ok(()));
-/// headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunke"));
-/// assert_eq!(body_framing::check(&headers), Err(FramingFault::OtherCoding));
+/// headers.insert(CONTENT_LENGTH, HeaderValue::from_static("5"));
+/// let fault = FramingFault::LengthBesideCoding;
+/// assert_eq!(body_framing::check(&headers), Err(fault));
 /// ```
 pub fn check(headers: &HeaderMap) -> Result<(), FramingFault> {
+    let is_chunked = is_chunked(headers)?;
+    let length = stated_length(headers)?;
+    if is_chunked && length.is_some() {
+        return Err(FramingFault::LengthBesideCoding);
+    }
+    Ok(())
+}
+
+fn is_chunked(headers: &HeaderMap) -> Result<bool, FramingFault> {
     let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
     match (codings.next(), codings.next()) {
-        (None, _) => return Ok(()),
-        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {}
-        _ => return Err(FramingFault::OtherCoding),
+        (None, _) => Ok(false),
+        (Some(coding), None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => Ok(true),
+        _ => Err(FramingFault::OtherCoding),
     }
-    if headers.contains_key(CONTENT_LENGTH) {
-        return Err(FramingFault::LengthBesideCoding);
+}
+
+/// The length in bytes that a head states. The same number may be stated several times (RFC 9110,
+/// section 8.6).
+///
+/// # Errors
+/// `InvalidLength`.
+///
+/// ```
+/// use http::HeaderMap;
+/// use http::header::{CONTENT_LENGTH, HeaderValue};
+/// use ledgespool::body_framing::{self, FramingFault};
+/// let mut headers = HeaderMap::new();
+/// assert_eq!(body_framing::stated_length(&headers), Ok(None));
+/// headers.insert(CONTENT_LENGTH, HeaderValue::from_static("21, 21"));
+/// assert_eq!(body_framing::stated_length(&headers), Ok(Some(21)));
+/// headers.append(CONTENT_LENGTH, HeaderValue::from_static("5"));
+/// let fault = FramingFault::InvalidLength;
+/// assert_eq!(body_framing::stated_length(&headers), Err(fault));
+/// ```
+pub fn stated_length(headers: &HeaderMap) -> Result<Option<u64>, FramingFault> {
+    let mut stated = None;
+    for value in headers.get_all(CONTENT_LENGTH) {
+        for digits in value.as_bytes().split(|byte| *byte == b',') {
+            let length = parse_length(digits.trim_ascii()).ok_or(FramingFault::InvalidLength)?;
+            if stated.is_some_and(|stated| stated != length) {
+                return Err(FramingFault::InvalidLength);
+            }
+            stated = Some(length);
+        }
     }
-    Ok(())
+    Ok(stated)
+}
+
+fn parse_length(digits: &[u8]) -> Option<u64> {
+    // A number with a sign can be parsed as well.
+    if !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(digits).ok()?.parse().ok()
 }
