Reject a 204 whose head states a body

Callers saw: of `204 No Content` with a `Content-Length` above 0 or with `Transfer-Encoding: chunked` a success without a body, although the server had sent one. The store's answer of that form confirmed a removal.

Cause: the status alone ends such an answer, whatever its head states. A server must not send either field with it (RFC 9110, section 8.6; RFC 9112, section 6.1), so the status or the field is spoilt.

Change: the check of heads rejects a 204 that states a body. `Content-Length: 0` stays allowed.

Evidence: broken_answers a_body_that_the_status_excludes_* and broken_store_answers a_removal_is_not_confirmed_* fail on the parent commit: 204 in place of 502, a confirmed removal. Both pass with this change.

Why it holds: the rule needs the status and the length only, which are checked in one place.

--- a/src/body_framing.rs
+++ b/src/body_framing.rs
@@ -4,8 +4,8 @@
 //! unknown transfer coding, also those that frame it, and passes over a length beside a coding or
 //! where no body follows.
 
-use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, StatusCode};
 
 /// Why the statements of a head about the length of the body cannot be true.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -19,6 +19,9 @@
     /// A server must not send both; one of them is wrong.
     #[error("a length is stated beside the transfer coding")]
     LengthBesideCoding,
+    /// An answer with this status has no body.
+    #[error("a body is stated beside status 204")]
+    BodyBesideNoContent,
 }
 
 /// Checks the head of an answer.
@@ -28,22 +31,26 @@
 ///
 /// ```
 /// use http::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
-/// use http::HeaderMap;
+/// use http::{HeaderMap, StatusCode};
 /// use ledgespool::body_framing::{self, FramingFault};
 /// let mut headers = HeaderMap::new();
-/// assert_eq!(body_framing::check(&headers), Ok(()));
+/// assert_eq!(body_framing::check(StatusCode::OK, &headers), Ok(()));
 /// headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
-/// assert_eq!(body_framing::check(&headers), Ok(()));
+/// assert_eq!(body_framing::check(StatusCode::OK, &headers), Ok(()));
 /// headers.insert(CONTENT_LENGTH, HeaderValue::from_static("5"));
 /// let fault = FramingFault::LengthBesideCoding;
-/// assert_eq!(body_framing::check(&headers), Err(fault));
+/// assert_eq!(body_framing::check(StatusCode::OK, &headers), Err(fault));
 /// ```
-pub fn check(headers: &HeaderMap) -> Result<(), FramingFault> {
+pub fn check(status: StatusCode, headers: &HeaderMap) -> Result<(), FramingFault> {
     let is_chunked = is_chunked(headers)?;
     let length = stated_length(headers)?;
     if is_chunked && length.is_some() {
         return Err(FramingFault::LengthBesideCoding);
     }
+    let has_body = is_chunked || length.is_some_and(|length| length > 0);
+    if has_body && status == StatusCode::NO_CONTENT {
+        return Err(FramingFault::BodyBesideNoContent);
+    }
     Ok(())
 }
 
--- a/src/client_sender.rs
+++ b/src/client_sender.rs
@@ -61,7 +61,7 @@
             Some(_unsent) => SendFault::NotSent,
             None => SendFault::Broken,
         })?;
-        body_framing::check(answer.headers())?;
+        body_framing::check(answer.status(), answer.headers())?;
         Ok(answer)
     }
 
