Take the length that callers are told from the body

Callers saw: the server's `Content-Length` as it is, such as `20, 20`, beside a body that a host had read by its own reading of that field; with two equal fields a debug build gave no answer.

Cause: the length was forwarded like any other field. A host frames the body anew, so the field concerns the connection to the server only.

Change: answers to callers and to hosts that handed a request over are forwarded without it; the server library states the length of the body that the host has, or sends chunks. An answer to HEAD keeps the length, written anew from the number that was read.

Why it holds: a head that contradicts itself can no longer meet a body of another length, whichever check of heads is missing.

--- a/src/connection_headers.rs
+++ b/src/connection_headers.rs
@@ -1,5 +1,7 @@
 //! Removes the headers that concern a single connection and must not be forwarded.
 
+use crate::body_framing;
+
 /// Removes the hop-by-hop headers (RFC 9110, section 7.6.1).
 pub(crate) fn end_to_end(headers: &http::HeaderMap) -> http::HeaderMap {
     const HOP_BY_HOP_HEADERS: [&str; 8] = [
@@ -29,6 +31,19 @@
     forwarded
 }
 
+/// The headers of an answer that are forwarded to a caller. The length of the body is left to the
+/// server library, which takes it from the body. Only an answer to HEAD has none to take it from.
+pub(crate) fn to_caller(headers: &http::HeaderMap, method: &http::Method) -> http::HeaderMap {
+    let mut forwarded = end_to_end(headers);
+    forwarded.remove(http::header::CONTENT_LENGTH);
+    if *method == http::Method::HEAD
+        && let Ok(Some(length)) = body_framing::stated_length(headers)
+    {
+        forwarded.insert(http::header::CONTENT_LENGTH, length.into());
+    }
+    forwarded
+}
+
 /// The headers that are forwarded to a server with a body of known length. Removed are the
 /// hop-by-hop headers, those that the client library writes itself and those meant for this proxy.
 pub(crate) fn to_server(headers: &http::HeaderMap) -> http::HeaderMap {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -330,7 +330,7 @@
     log_answer(host, open, &answered);
     let AnsweredRequest { source, answer } = answered;
     let answer = *answer;
-    let headers = connection_headers::end_to_end(&answer.head.headers);
+    let headers = connection_headers::to_caller(&answer.head.headers, &open.forward.method);
     let status = answer.head.status;
     let body = match answer.remaining {
         None => AnswerBody::whole(answer.buffered),
--- a/src/worker/answer_stream.rs
+++ b/src/worker/answer_stream.rs
@@ -70,7 +70,7 @@
     });
     let mut response = http::Response::new(Body::default());
     *response.status_mut() = parts.status;
-    *response.headers_mut() = connection_headers::end_to_end(&parts.headers);
+    *response.headers_mut() = connection_headers::to_caller(&parts.headers, &request.method);
     answer::add_answer_headers(response.headers_mut(), &request.id, &hall, leaving);
     let stream = AnswerBody::new(
         body,
