Keep the length of an answer to HEAD that another host got

Callers saw: `Content-Length: 0` for a HEAD request that their host had handed over, although the server had stated 500.

Cause: the host that took the request over answers a POST of the other host, so its server library states the length of the empty body.

Change: between the hosts, the server's length has a field of its own, and the length of the response between them is not forwarded.

Why it holds: no length of a response between hosts reaches a caller any more.

--- a/src/entry/handoff/message.rs
+++ b/src/entry/handoff/message.rs
@@ -13,6 +13,10 @@
 /// The response is a [`HandoffFailure`].
 pub const FAILURE: &str = "failure";
 
+/// The length that a server stated in an answer to HEAD, in bytes. The response between the hosts has
+/// a length of its own.
+pub const HEAD_LENGTH_HEADER: &str = "x-ledgespool-head-length";
+
 /// Length of the number that precedes an encoded head, in bytes.
 const LENGTH_BYTES: usize = 4;
 
--- a/src/entry/handoff/receiver.rs
+++ b/src/entry/handoff/receiver.rs
@@ -5,7 +5,9 @@
 use bytes::Bytes;
 use hyper::body::Incoming;
 
-use super::message::{ANSWER, FAILURE, HANDOFF_HEADER, HandoffFailure, HandoffRequest};
+use super::message::{
+    ANSWER, FAILURE, HANDOFF_HEADER, HEAD_LENGTH_HEADER, HandoffFailure, HandoffRequest,
+};
 use super::role::HandoffRole;
 use crate::entry::answer::AnswerBody;
 use crate::entry::body_reader;
@@ -39,7 +41,11 @@
     match request::serve_handoff(rc::Rc::clone(host), request, departure).await {
         Ok(mut response) => {
             let answer = http::HeaderValue::from_static(ANSWER);
-            response.headers_mut().insert(HANDOFF_HEADER, answer);
+            let headers = response.headers_mut();
+            headers.insert(HANDOFF_HEADER, answer);
+            if let Some(length) = headers.remove(http::header::CONTENT_LENGTH) {
+                headers.insert(HEAD_LENGTH_HEADER, length);
+            }
             response
         }
         Err(failure) => failure_response(host, &to_message(&failure)),
--- a/src/entry/handoff/sender.rs
+++ b/src/entry/handoff/sender.rs
@@ -7,7 +7,8 @@
 
 use super::HANDOFF_PATH;
 use super::message::{
-    ANSWER, FAILURE, HANDOFF_HEADER, HandoffFailure, HandoffHead, HandoffRequest,
+    ANSWER, FAILURE, HANDOFF_HEADER, HEAD_LENGTH_HEADER, HandoffFailure, HandoffHead,
+    HandoffRequest,
 };
 use crate::client_sender::ClientSender;
 use crate::entry::exchange::LossCause;
@@ -174,6 +175,11 @@
     body: Incoming,
 ) -> HandoffOutcome {
     head.headers.remove(HANDOFF_HEADER);
+    // That of the response between the hosts.
+    head.headers.remove(http::header::CONTENT_LENGTH);
+    if let Some(length) = head.headers.remove(HEAD_LENGTH_HEADER) {
+        head.headers.insert(http::header::CONTENT_LENGTH, length);
+    }
     let Ok((buffered, remaining)) = server_answer::read_start(host, body).await else {
         return HandoffOutcome::Lost(LossCause::Truncated);
     };
