Reject heads of answers in which a line ends without a carriage return

Callers saw: of a head with `Content-Length: 20`, then `X: a\n\nY: b`, a 200 with 20 bytes that begin with `Y: b`. The store's page behind such a line was one without entries, its 404 an absent entry.

Cause: hyper takes a line feed alone for the end of a line (RFC 9112, section 2.2, allows that), so one changed byte ends a head early. When the host sees the head, its bytes are gone.

Change: the stream below hyper's client follows the lines of each head that is due, interim ones included, and breaks the connection at a line feed without a carriage return. The sender of a request tells the stream that an answer is due, so bodies are not searched. What follows is that of every head that cannot be read. Servers that end all lines with a line feed alone get no callers any more.

Why it holds: every connection on which answers are read has this stream, since `ClientSender` opens it.

--- a/src/client_sender.rs
+++ b/src/client_sender.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 
 use crate::body_framing::{self, FramingFault};
+use crate::checked_stream::{AnswerSignal, CheckedStream};
 use crate::request_body::RequestBody;
 
 /// Largest head of an answer, in bytes.
@@ -30,6 +31,7 @@
 #[derive(Debug)]
 pub struct ClientSender {
     sender: http1::SendRequest<RequestBody>,
+    signal: AnswerSignal,
 }
 
 impl ClientSender {
@@ -40,12 +42,14 @@
     pub async fn handshake(stream: TcpStream) -> hyper::Result<Self> {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
+        let signal = AnswerSignal::default();
+        let stream = CheckedStream::new(stream, signal.clone());
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
         tokio::spawn(async move {
             // A broken connection shows up as an error of the request that uses it.
             let _outcome = connection.await;
         });
-        Ok(Self { sender })
+        Ok(Self { sender, signal })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -56,6 +60,7 @@
         &mut self,
         request: http::Request<RequestBody>,
     ) -> Result<http::Response<Incoming>, SendFault> {
+        self.signal.expect_answer();
         let answer = self.sender.try_send_request(request).await;
         let answer = answer.map_err(|mut fault| match fault.take_message() {
             Some(_unsent) => SendFault::NotSent,
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -69,6 +69,12 @@
     );
 }
 
+#[test]
+fn a_line_without_carriage_return_is_no_answer() {
+    assert_no_answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: a\n\nY: b\r\n\r\nab");
+    assert_no_answer("HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nab");
+}
+
 /// Bodies are not searched, nor is the line end of one head taken for that of the next.
 #[test]
 fn a_connection_carries_several_answers_with_line_feeds_in_their_bodies() {
